--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Two commands set up everything on a fresh Debian machine: `make demo` and `make test`.
+
+PACKAGES := g++ cmake ninja-build make git clang-format clang-tidy qt6-base-dev libnng-dev \
+            libboost-dev libyaml-cpp-dev libgflags-dev libeasyloggingpp-dev catch2 libpq-dev \
+            libsqlite3-dev librapidcheck-dev libssl-dev libmsgpack-cxx-dev nlohmann-json3-dev \
+            libxxhash-dev
+SOURCE_FOLDERS := apps base benchmarks callers control core databases entry fleet operators \
+                  platform rig tests
+SOURCES = $(shell git ls-files --cached --others --exclude-standard $(SOURCE_FOLDERS) \
+            | grep -E '\.(h|cpp)$$')
+UNITS = $(filter %.cpp,$(SOURCES))
+
+.PHONY: demo test deps build format format-check lint unit-test
+
+demo: deps build
+	./build/bin/demo
+
+test: deps format-check build lint unit-test
+
+# Installs what is missing; does nothing when everything is there.
+deps:
+	@dpkg-query -W -f='$${Status}\n' $(PACKAGES) 2>/dev/null | grep -c 'ok installed' \
+	  | grep -qx $(words $(PACKAGES)) \
+	  || (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES))
+
+build:
+	cmake -S . -B build -G Ninja > /dev/null
+	ninja -C build
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint:
+	@echo $(UNITS) | tr ' ' '\n' | xargs -P $$(nproc) -n 4 clang-tidy --quiet -p build
+
+unit-test:
+	cd build && ctest --output-on-failure
--- /dev/null
+++ b/apps/balsamdrift.cpp
@@ -0,0 +1,218 @@
+#include <gflags/gflags.h>
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <cstdio>
+
+#include "apps/daemon_settings.h"
+#include "apps/exit_code.h"
+#include "apps/stop_signal.h"
+#include "base/event_log.h"
+#include "entry/entry_service.h"
+#include "operators/control_api.h"
+
+DEFINE_string(settings, "", "settings file in YAML");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace {
+
+using namespace balsamdrift;
+
+constexpr milliseconds tick_interval(10);
+
+int to_int(exit_code code) { return static_cast<int>(code); }
+
+/// Tells whoever started the process which addresses it listens on.
+void report_ready(const std::string& addresses)
+{
+    std::printf("ready %s\n", addresses.c_str());
+    std::fflush(stdout);
+}
+
+int fail(const failure& why)
+{
+    std::fprintf(stderr, "balsamdrift: %s\n", why.message.c_str());
+    return to_int(exit_code::unavailable);
+}
+
+/// Reads the settings again. What can only be read at the start stays as it was.
+void reload(const std::string& file)
+{
+    const auto settings = read_settings(file);
+    if (const auto* problems = std::get_if<settings_problems>(&settings)) {
+        for (const std::string& it : problems->lines) {
+            log_event(event_id::settings_refused, {{"problem", it}});
+        }
+        return;
+    }
+    log_event(event_id::settings_reloaded);
+}
+
+int run_control(const control_settings& settings)
+{
+    fleet_node fleet({.listen = settings.common.fleet_listen,
+                      .advertised = settings.common.fleet_advertised,
+                      .secret = settings.common.fleet_secret});
+    control_service control(settings.control, fleet);
+    auto started = fleet.start([&](fleet_message it) { control.receive(std::move(it)); });
+    if (!succeeded(started)) {
+        return fail(failure_of(started));
+    }
+    if (auto opened = control.start(); !succeeded(opened)) {
+        return fail(failure_of(opened));
+    }
+    control_api api(control, settings.common.operator_token);
+    http_server operators(settings.operators,
+                          [&](const http_request& request, const http_responder& responder) {
+                              api.handle(request, responder);
+                          });
+    auto listening = operators.start();
+    if (!succeeded(listening)) {
+        return fail(failure_of(listening));
+    }
+    log_event(event_id::process_started, {{"role", "control"}});
+    report_ready("operators=" + to_string(value_of(listening)));
+    QTimer watch;
+    QObject::connect(&watch, &QTimer::timeout, &watch, [] {
+        if (take_reload_request()) {
+            reload(FLAGS_settings);
+        }
+        if (stop_requested()) {
+            log_event(event_id::process_stopping);
+            QCoreApplication::quit();
+        }
+    });
+    watch.start(tick_interval);
+    QCoreApplication::exec();
+    fleet.stop();
+    operators.stop();
+    log_event(event_id::process_stopped);
+    return to_int(exit_code::success);
+}
+
+/// Takes an entry from its stop request to its end, one stage after the other.
+class entry_stop {
+public:
+    entry_stop(entry_service& entry, const entry_settings& settings)
+        : entry_(entry), settings_(settings)
+    {
+    }
+
+    /// Goes on with the stop; true when the process can exit.
+    bool advance(time_point now)
+    {
+        if (!began_) {
+            began_ = now;
+            log_event(event_id::process_stopping);
+            entry_.begin_drain();
+        }
+        const duration elapsed = now - *began_;
+        if (!refusing_ && elapsed >= settings_.drain_notice) {
+            refusing_ = true;
+            entry_.refuse_new();
+        }
+        return refusing_ && (entry_.is_drained() || elapsed >= settings_.drain_limit);
+    }
+
+private:
+    entry_service& entry_;
+    const entry_settings& settings_;
+    std::optional<time_point> began_;
+    bool refusing_ = false;
+};
+
+int run_entry(const entry_settings& settings)
+{
+    fleet_node fleet({.listen = settings.common.fleet_listen,
+                      .advertised = settings.common.fleet_advertised,
+                      .secret = settings.common.fleet_secret});
+    std::unique_ptr<entry_service> entry;
+    std::atomic<entry_service*> receiver = nullptr;
+    auto listening = fleet.start([&](fleet_message it) {
+        if (entry_service* const to = receiver.load()) {
+            to->receive(std::move(it));
+        }
+    });
+    if (!succeeded(listening)) {
+        return fail(failure_of(listening));
+    }
+    entry = std::make_unique<entry_service>(
+        entry_options{.name = settings.common.name,
+                      .failure_domain = settings.failure_domain,
+                      .callers = settings.callers,
+                      .platform = settings.platform,
+                      .database_threads = settings.database_threads,
+                      .control = settings.control,
+                      .lease_renew_interval = settings.lease_renew_interval,
+                      .operator_token = settings.common.operator_token},
+        fleet);
+    auto started = entry->start();
+    if (!succeeded(started)) {
+        return fail(failure_of(started));
+    }
+    receiver = entry.get();
+    log_event(event_id::process_started, {{"role", "entry"}});
+    report_ready("callers=" + to_string(value_of(started).callers) +
+                 " platform=" + to_string(value_of(started).platform));
+    entry_stop stop(*entry, settings);
+    QTimer watch;
+    QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
+        entry->tick();
+        if (take_reload_request()) {
+            reload(FLAGS_settings);
+        }
+        if (stop_requested() && stop.advance(monotonic_clock::now())) {
+            QCoreApplication::quit();
+        }
+    });
+    watch.start(tick_interval);
+    QCoreApplication::exec();
+    entry->stop();
+    receiver = nullptr;
+    fleet.stop();
+    log_event(event_id::process_stopped);
+    return to_int(exit_code::success);
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(
+        "balsamdrift --settings FILE [--check]\n\n"
+        "Runs a control member or an entry, as the settings say.\n"
+        "Exit codes: 0 stopped as asked, 64 wrong command line, 69 an address or\n"
+        "the data folder cannot be used, 78 wrong settings.");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        std::fprintf(stderr, "usage: balsamdrift --settings FILE [--check]\n");
+        return to_int(exit_code::usage);
+    }
+    const auto settings = read_settings(FLAGS_settings);
+    if (const auto* problems = std::get_if<settings_problems>(&settings)) {
+        for (const std::string& it : problems->lines) {
+            std::fprintf(stderr, "%s\n", it.c_str());
+        }
+        return to_int(exit_code::settings);
+    }
+    if (FLAGS_check) {
+        std::printf("the settings are valid\n");
+        return to_int(exit_code::success);
+    }
+    QCoreApplication app(argc, argv);
+    watch_signals();
+    const auto& valid = std::get<daemon_settings>(settings);
+    return std::visit(
+        overloaded{
+            [](const control_settings& it) {
+                open_event_log({.process = it.common.name, .file = it.common.log_file});
+                return run_control(it);
+            },
+            [](const entry_settings& it) {
+                open_event_log({.process = it.common.name, .file = it.common.log_file});
+                return run_entry(it);
+            },
+        },
+        valid);
+}
--- /dev/null
+++ b/apps/daemon_settings.cpp
@@ -0,0 +1,164 @@
+#include "apps/daemon_settings.h"
+
+#include <algorithm>
+
+#include "base/settings_reader.h"
+#include "control/synced_file.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr std::size_t shortest_secret = 16;
+constexpr std::int64_t most_threads = 64;
+constexpr std::int64_t largest_body = std::int64_t{64} * 1024 * 1024;
+constexpr std::int64_t largest_header = std::int64_t{1024} * 1024;
+
+/// Reads a secret from a file; the settings themselves hold none.
+std::string read_secret(settings_reader& in, const std::string& key, const std::string& base,
+                        std::vector<std::string>& problems)
+{
+    std::string path = in.text(key);
+    if (path.empty()) {
+        return {};
+    }
+    if (path.front() != '/') {
+        path = base + path;
+    }
+    auto content = read_file(path);
+    std::string secret = succeeded(content) ? value_of(content) : std::string();
+    while (!secret.empty() && (secret.back() == '\n' || secret.back() == '\r')) {
+        secret.pop_back();
+    }
+    if (secret.size() < shortest_secret) {
+        problems.push_back(key + ": expected a readable file with at least 16 bytes at " + path);
+    }
+    return secret;
+}
+
+/// Folder of a file, with a slash at its end; empty for the current one.
+std::string folder_of(const std::string& file)
+{
+    const auto slash = file.rfind('/');
+    return slash == std::string::npos ? std::string() : file.substr(0, slash + 1);
+}
+
+common_settings read_common(settings_reader& root, const std::string& file,
+                            std::vector<std::string>& problems)
+{
+    common_settings common;
+    common.name = root.text("name");
+    common.log_file = root.text("log_file", "");
+    settings_reader fleet = root.section("fleet");
+    common.fleet_listen = fleet.address("listen");
+    common.fleet_advertised = fleet.text("advertised", "");
+    common.fleet_secret = read_secret(fleet, "secret_file", folder_of(file), problems);
+    (void)fleet.finish();
+    common.operator_token = read_secret(root, "operator_token_file", folder_of(file), problems);
+    return common;
+}
+
+http_server_options read_server(settings_reader in, int default_threads)
+{
+    http_server_options options;
+    options.listen = in.address("listen");
+    options.threads = static_cast<int>(in.number("threads", default_threads, 1, most_threads));
+    options.body_limit =
+        static_cast<std::size_t>(in.number("body_limit_bytes", 1024 * 1024, 1024, largest_body));
+    options.header_limit =
+        static_cast<std::size_t>(in.number("header_limit_bytes", 16 * 1024, 1024, largest_header));
+    options.request_timeout = in.span("request_timeout", options.request_timeout);
+    options.idle_timeout = in.span("idle_timeout", options.idle_timeout);
+    (void)in.finish();
+    return options;
+}
+
+control_settings read_control(settings_reader& root, common_settings common,
+                              std::vector<std::string>& problems)
+{
+    control_settings settings;
+    settings.operators = read_server(root.section("operators"), 1);
+    control_options& control = settings.control;
+    control.name = common.name;
+    control.data_folder = root.text("data_folder");
+    settings_reader section = root.section("control");
+    for (settings_reader& member : section.list("members")) {
+        voter it;
+        it.id.name = member.text("name");
+        it.address = to_string(member.address("address"));
+        (void)member.finish();
+        control.members.push_back(it);
+    }
+    control.heartbeat_interval = section.span("heartbeat_interval", control.heartbeat_interval);
+    control.election_timeout = section.span("election_timeout", control.election_timeout);
+    control.election_jitter = section.span("election_jitter", control.election_jitter);
+    control.lease_duration = section.span("lease_duration", control.lease_duration);
+    control.snapshot_log_bytes = static_cast<std::uint64_t>(
+        section.number("snapshot_log_bytes", 1024 * 1024, 4096, largest_body));
+    (void)section.finish();
+    const auto count = control.members.size();
+    if (count != 1 && count != 3 && count != 5) {
+        problems.emplace_back("control.members: expected 1, 3 or 5 members");
+    }
+    const bool listed = std::any_of(control.members.begin(), control.members.end(),
+                                    [&](const voter& it) { return it.id.name == common.name; });
+    if (!listed) {
+        problems.emplace_back("control.members: expected this member's own name among them");
+    }
+    if (control.election_timeout < control.heartbeat_interval * 3) {
+        problems.emplace_back(
+            "control.election_timeout: expected at least three heartbeat intervals");
+    }
+    settings.common = std::move(common);
+    return settings;
+}
+
+entry_settings read_entry(settings_reader& root, common_settings common)
+{
+    entry_settings settings;
+    settings.failure_domain = root.text("failure_domain");
+    settings.callers = read_server(root.section("callers"), 2);
+    settings.platform = read_server(root.section("platform"), 1);
+    settings_reader databases = root.section("databases", false);
+    settings.database_threads = static_cast<int>(databases.number("threads", 2, 1, most_threads));
+    (void)databases.finish();
+    settings_reader control = root.section("control");
+    for (const endpoint& it : control.addresses("members")) {
+        settings.control.push_back(to_string(it));
+    }
+    settings.lease_renew_interval =
+        control.span("lease_renew_interval", settings.lease_renew_interval);
+    (void)control.finish();
+    settings_reader stop = root.section("stop", false);
+    settings.drain_notice = stop.span("notice", settings.drain_notice);
+    settings.drain_limit = stop.span("limit", settings.drain_limit);
+    (void)stop.finish();
+    settings.common = std::move(common);
+    return settings;
+}
+
+}  // namespace
+
+std::variant<daemon_settings, settings_problems> read_settings(const std::string& file)
+{
+    settings_reader root = settings_reader::from_file(file);
+    std::vector<std::string> problems;
+    daemon_settings settings;
+    const std::string role = root.choice("role", {"entry", "control"});
+    common_settings common = read_common(root, file, problems);
+    if (role == "control") {
+        settings = read_control(root, std::move(common), problems);
+    }
+    else {
+        settings = read_entry(root, std::move(common));
+    }
+    std::vector<std::string> lines = root.finish();
+    for (const std::string& it : problems) {
+        lines.push_back(file + ": " + it);
+    }
+    if (!lines.empty()) {
+        return settings_problems{std::move(lines)};
+    }
+    return settings;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/apps/daemon_settings.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/outcome.h"
+#include "base/time.h"
+#include "callers/http_server.h"
+#include "control/control_options.h"
+
+namespace balsamdrift {
+
+/// Settings that both roles share.
+struct common_settings {
+    std::string name;
+    std::string log_file;
+    endpoint fleet_listen;
+    std::string fleet_advertised;
+    std::string fleet_secret;
+    std::string operator_token;
+};
+
+/// Settings of a control member.
+struct control_settings {
+    common_settings common;
+    http_server_options operators;
+    control_options control;
+};
+
+/// Settings of an entry.
+struct entry_settings {
+    common_settings common;
+    std::string failure_domain;
+    http_server_options callers;
+    http_server_options platform;
+    int database_threads = 2;
+    std::vector<std::string> control;
+    duration lease_renew_interval = milliseconds(500);
+    /// A stop first reports unready for this long, so that the balancer sends callers elsewhere.
+    duration drain_notice = seconds(1);
+    /// A stop ends whatever is left after this.
+    duration drain_limit = seconds(30);
+};
+
+/// Settings of either role.
+using daemon_settings = std::variant<control_settings, entry_settings>;
+
+/// Every mistake found in a settings file.
+struct settings_problems {
+    std::vector<std::string> lines;
+};
+
+/// Reads and checks a settings file, and the secrets in the files that it names.
+std::variant<daemon_settings, settings_problems> read_settings(const std::string& file);
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/apps/exit_code.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace balsamdrift {
+
+/// Exit codes of both binaries, as documented in docs/OPERATIONS.md.
+enum class exit_code : int {
+    success = 0,
+    /// balsamctl: the change was refused (conflict or invalid).
+    refused = 1,
+    /// The command line is wrong.
+    usage = 64,
+    /// The settings are wrong.
+    settings = 78,
+    /// An address or data folder cannot be used, or no control member answered.
+    unavailable = 69,
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/base/event.cpp
@@ -0,0 +1,99 @@
+#include "base/event.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace balsamdrift {
+
+const std::vector<event_description>& event_catalogue()
+{
+    using enum event_severity;
+    static const std::vector<event_description> rows{
+        {event_id::process_started, "process_started", info, "The process serves its role."},
+        {event_id::process_stopping, "process_stopping", info,
+         "A stop was requested; no new work is taken."},
+        {event_id::process_stopped, "process_stopped", info,
+         "All work in flight has ended and the process exits."},
+        {event_id::settings_reloaded, "settings_reloaded", info,
+         "The settings were read again and are in force."},
+        {event_id::settings_refused, "settings_refused", error,
+         "The settings read again were refused; the old ones stay in force."},
+        {event_id::formation_completed, "formation_completed", info,
+         "All control members were empty and agreed on the first membership."},
+        {event_id::election_started, "election_started", info,
+         "The control member asks the others for their votes."},
+        {event_id::leader_elected, "leader_elected", info,
+         "The control member won an election and leads."},
+        {event_id::leadership_lost, "leadership_lost", warning,
+         "The control member no longer leads."},
+        {event_id::member_joining, "member_joining", warning,
+         "A control member with an empty data folder asks to be added."},
+        {event_id::member_added, "member_added", info, "A membership entry added a member."},
+        {event_id::member_removed, "member_removed", warning,
+         "A membership entry removed a member."},
+        {event_id::snapshot_saved, "snapshot_saved", info,
+         "The registry was saved and the log before it was dropped."},
+        {event_id::snapshot_installed, "snapshot_installed", info,
+         "A snapshot received from the leader replaced the local state."},
+        {event_id::log_tail_discarded, "log_tail_discarded", warning,
+         "The log on disk ended in a torn record, which was cut off."},
+        {event_id::storage_failed, "storage_failed", error,
+         "A write to the data folder failed; the member stops taking part."},
+        {event_id::change_accepted, "change_accepted", info,
+         "A change by an operator is committed."},
+        {event_id::change_refused, "change_refused", warning,
+         "A change by an operator was refused."},
+        {event_id::configuration_in_force, "configuration_in_force", info,
+         "The entry serves under this version of the configuration."},
+        {event_id::entry_registered, "entry_registered", info,
+         "An entry process took up its lease with the control leader."},
+        {event_id::entry_expired, "entry_expired", warning,
+         "The lease of an entry ran out; what it owned is assigned anew."},
+        {event_id::item_assigned, "item_assigned", info,
+         "A database group or customer shard got a new owner."},
+        {event_id::lease_acquired, "lease_acquired", info, "The entry holds its lease and serves."},
+        {event_id::lease_lost, "lease_lost", error,
+         "The lease ran out; keyed requests are refused until it is renewed."},
+        {event_id::ownership_gained, "ownership_gained", info,
+         "The entry owns this item under the given epoch."},
+        {event_id::ownership_released, "ownership_released", info,
+         "The entry no longer owns this item."},
+        {event_id::instance_announced, "instance_announced", info,
+         "A database instance announced itself for the first time."},
+        {event_id::instance_expired, "instance_expired", warning,
+         "An instance stopped announcing itself and is forgotten."},
+        {event_id::instance_leaving, "instance_leaving", info,
+         "An instance announced that it leaves; it gets no new work."},
+        {event_id::instance_unreachable, "instance_unreachable", warning,
+         "An instance did not answer its probes in time."},
+        {event_id::instance_reachable, "instance_reachable", info,
+         "An instance answers its probes again."},
+        {event_id::primary_recorded, "primary_recorded", info,
+         "The control log names this instance as the group's primary."},
+        {event_id::promotion_started, "promotion_started", warning,
+         "The owner asks a replica to become the primary."},
+        {event_id::promotion_finished, "promotion_finished", info,
+         "The replica answers as primary with a new term."},
+        {event_id::stale_primary_ignored, "stale_primary_ignored", warning,
+         "A replaced primary announced itself; it gets no work."},
+        {event_id::connection_discarded, "connection_discarded", warning,
+         "A database connection was closed because its state was in doubt."},
+        {event_id::caller_request_malformed, "caller_request_malformed", info,
+         "A caller's request could not be parsed."},
+        {event_id::transaction_expired, "transaction_expired", warning,
+         "A transaction was idle for too long and was rolled back."},
+    };
+    return rows;
+}
+
+const event_description& describe(event_id id)
+{
+    const auto& rows = event_catalogue();
+    const auto it = std::find_if(rows.begin(), rows.end(),
+                                 [&](const event_description& row) { return row.id == id; });
+    BALSAMDRIFT_INVARIANT(it != rows.end());
+    return *it;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/base/event.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamdrift {
+
+/// Numbers of the events that any process may log. docs/EVENTS.md is the catalogue; a test compares
+/// the two. Numbers are never reused.
+enum class event_id : std::uint16_t {
+    process_started = 1001,
+    process_stopping = 1002,
+    process_stopped = 1003,
+    settings_reloaded = 1004,
+    settings_refused = 1005,
+
+    formation_completed = 2001,
+    election_started = 2002,
+    leader_elected = 2003,
+    leadership_lost = 2004,
+    member_joining = 2005,
+    member_added = 2006,
+    member_removed = 2007,
+    snapshot_saved = 2008,
+    snapshot_installed = 2009,
+    log_tail_discarded = 2010,
+    storage_failed = 2011,
+
+    change_accepted = 3001,
+    change_refused = 3002,
+    configuration_in_force = 3003,
+    entry_registered = 3004,
+    entry_expired = 3005,
+    item_assigned = 3006,
+
+    lease_acquired = 4001,
+    lease_lost = 4002,
+    ownership_gained = 4003,
+    ownership_released = 4004,
+
+    instance_announced = 5001,
+    instance_expired = 5002,
+    instance_leaving = 5003,
+    instance_unreachable = 5004,
+    instance_reachable = 5005,
+    primary_recorded = 5006,
+    promotion_started = 5007,
+    promotion_finished = 5008,
+    stale_primary_ignored = 5009,
+    connection_discarded = 5010,
+
+    caller_request_malformed = 6001,
+    transaction_expired = 6002,
+};
+
+/// Severity of an event, as it appears in the log line.
+enum class event_severity : std::uint8_t { info, warning, error };
+
+/// One row of the event catalogue.
+struct event_description {
+    event_id id;
+    std::string_view name;
+    event_severity severity;
+    /// What the event means, for the catalogue.
+    std::string_view meaning;
+};
+
+/// All events in numeric order.
+const std::vector<event_description>& event_catalogue();
+
+/// The catalogue row of an event.
+const event_description& describe(event_id id);
+
+/// A named value attached to an event.
+struct event_field {
+    std::string_view name;
+    std::string value;
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/base/metrics.cpp
@@ -0,0 +1,124 @@
+#include "base/metrics.h"
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+#include <map>
+#include <sstream>
+
+#include "base/sharded.h"
+
+namespace balsamdrift {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array quantiles{0.5, 0.9, 0.99};
+
+using span_accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
+
+/// Name and labels of one time series.
+struct series_key {
+    std::string name;
+    std::string labels;
+    auto operator<=>(const series_key&) const = default;
+};
+
+/// One shard of all metrics.
+struct metric_shard {
+    std::map<series_key, std::uint64_t> counters;
+    std::map<series_key, double> gauges;
+    std::map<series_key, span_accumulator> spans;
+};
+
+sharded<metric_shard>& shards()
+{
+    static sharded<metric_shard> instance;
+    return instance;
+}
+
+std::size_t shard_of(std::string_view name, std::string_view labels)
+{
+    const std::hash<std::string_view> hash;
+    return hash(name) * 31 + hash(labels);
+}
+
+std::string series_text(const series_key& key, std::string_view suffix = {},
+                        std::string_view extra = {})
+{
+    std::string text = key.name;
+    text.append(suffix);
+    if (key.labels.empty() && extra.empty()) {
+        return text;
+    }
+    const bool both = !key.labels.empty() && !extra.empty();
+    text.append("{").append(key.labels).append(both ? "," : "").append(extra).append("}");
+    return text;
+}
+
+void render_span(std::ostream& out, const series_key& key, const span_accumulator& span)
+{
+    for (const double quantile : quantiles) {
+        std::ostringstream label;
+        label << "quantile=\"" << quantile << "\"";
+        out << series_text(key, "", label.str()) << " "
+            << acc::quantile(span, acc::quantile_probability = quantile) << "\n";
+    }
+    out << series_text(key, "_sum") << " " << acc::sum(span) << "\n";
+    out << series_text(key, "_count") << " " << acc::count(span) << "\n";
+}
+
+}  // namespace
+
+void count_metric(std::string_view name, std::string_view labels, std::uint64_t amount)
+{
+    shards().with(shard_of(name, labels), [&](metric_shard& shard) {
+        shard.counters[{std::string(name), std::string(labels)}] += amount;
+    });
+}
+
+void set_metric(std::string_view name, std::string_view labels, double value)
+{
+    shards().with(shard_of(name, labels), [&](metric_shard& shard) {
+        shard.gauges[{std::string(name), std::string(labels)}] = value;
+    });
+}
+
+void observe_metric(std::string_view name, std::string_view labels, duration span)
+{
+    const double value = std::chrono::duration<double>(span).count();
+    shards().with(shard_of(name, labels), [&](metric_shard& shard) {
+        const series_key key{std::string(name), std::string(labels)};
+        auto it = shard.spans.find(key);
+        if (it == shard.spans.end()) {
+            it = shard.spans
+                     .emplace(key,
+                              span_accumulator(acc::extended_p_square_probabilities = quantiles))
+                     .first;
+        }
+        it->second(value);
+    });
+}
+
+std::string render_metrics()
+{
+    std::ostringstream out;
+    shards().for_each([&](const metric_shard& shard) {
+        for (const auto& [key, value] : shard.counters) {
+            out << series_text(key) << " " << value << "\n";
+        }
+        for (const auto& [key, value] : shard.gauges) {
+            out << series_text(key) << " " << value << "\n";
+        }
+        for (const auto& [key, span] : shard.spans) {
+            render_span(out, key, span);
+        }
+    });
+    return out.str();
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/base/settings_reader.cpp
@@ -0,0 +1,255 @@
+#include "base/settings_reader.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace balsamdrift {
+namespace {
+
+/// A unit that a span may be written with.
+struct span_unit {
+    std::string_view suffix;
+    duration one;
+};
+
+constexpr std::array span_units{
+    span_unit{"ms", std::chrono::milliseconds(1)},
+    span_unit{"s", std::chrono::seconds(1)},
+    span_unit{"m", std::chrono::minutes(1)},
+    span_unit{"h", std::chrono::hours(1)},
+};
+
+outcome<std::int64_t> parse_number(const std::string& text)
+{
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [ptr, ec] = std::from_chars(text.data(), end, value);
+    if (ec != std::errc{} || ptr != end) {
+        return failure{"a whole number"};
+    }
+    return value;
+}
+
+outcome<duration> parse_span(const std::string& text)
+{
+    const auto digits = text.find_first_not_of("0123456789");
+    if (digits == std::string::npos || digits == 0) {
+        return failure{"a span with its unit, such as 250ms, 2s, 1m or 1h"};
+    }
+    auto amount = parse_number(text.substr(0, digits));
+    const std::string_view suffix = std::string_view(text).substr(digits);
+    const auto unit = std::find_if(span_units.begin(), span_units.end(),
+                                   [&](const span_unit& it) { return it.suffix == suffix; });
+    if (!succeeded(amount) || unit == span_units.end()) {
+        return failure{"a span with its unit, such as 250ms, 2s, 1m or 1h"};
+    }
+    return unit->one * value_of(amount);
+}
+
+}  // namespace
+
+settings_reader::settings_reader(YAML::Node node, std::string path,
+                                 std::shared_ptr<shared_report> report)
+    : node_(std::move(node)), path_(std::move(path)), report_(std::move(report))
+{
+}
+
+settings_reader settings_reader::from_file(const std::string& file)
+{
+    auto report = std::make_shared<shared_report>();
+    report->file = file;
+    YAML::Node root;
+    try {
+        root = YAML::LoadFile(file);
+    }
+    catch (const YAML::BadFile&) {
+        report->problems.push_back(file + ": the settings file cannot be opened");
+    }
+    catch (const YAML::ParserException& ex) {
+        report->problems.push_back(file + ":" + std::to_string(ex.mark.line + 1) +
+                                   ": not valid YAML: " + ex.msg);
+    }
+    if (report->problems.empty() && !root.IsMap()) {
+        report->problems.push_back(file + ":1: expected a mapping of settings");
+    }
+    return {root.IsMap() ? root : YAML::Node(YAML::NodeType::Map), "", report};
+}
+
+std::string settings_reader::path_of(const std::string& key) const
+{
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+void settings_reader::report_problem(const YAML::Node& node, const std::string& key,
+                                     const std::string& expected)
+{
+    const int line = node.Mark().line;
+    report_->problems.push_back(report_->file + ":" + std::to_string(std::max(line, 0) + 1) + ": " +
+                                path_of(key) + ": expected " + expected);
+}
+
+YAML::Node settings_reader::take(const std::string& key, bool required)
+{
+    read_keys_.insert(key);
+    const YAML::Node& mapping = node_;
+    const YAML::Node value = mapping[key];
+    if (value.IsDefined()) {
+        return value;
+    }
+    if (required) {
+        report_problem(node_, key, "a value, but the key is missing");
+    }
+    return YAML::Node(YAML::NodeType::Undefined);
+}
+
+settings_reader settings_reader::section(const std::string& key, bool required)
+{
+    const YAML::Node value = take(key, required);
+    if (value.IsDefined() && !value.IsMap()) {
+        report_problem(value, key, "a mapping");
+    }
+    const bool usable = value.IsDefined() && value.IsMap();
+    return {usable ? value : YAML::Node(YAML::NodeType::Map), path_of(key), report_};
+}
+
+std::vector<settings_reader> settings_reader::list(const std::string& key)
+{
+    std::vector<settings_reader> readers;
+    const YAML::Node value = take(key, true);
+    if (!value.IsDefined()) {
+        return readers;
+    }
+    if (!value.IsSequence()) {
+        report_problem(value, key, "a sequence of mappings");
+        return readers;
+    }
+    for (std::size_t n = 0; n < value.size(); ++n) {
+        const std::string path = path_of(key) + "[" + std::to_string(n) + "]";
+        if (!value[n].IsMap()) {
+            report_problem(value[n], key, "a mapping");
+            continue;
+        }
+        readers.push_back(settings_reader(value[n], path, report_));
+    }
+    return readers;
+}
+
+std::string settings_reader::text(const std::string& key)
+{
+    const YAML::Node value = take(key, true);
+    if (!value.IsDefined()) {
+        return {};
+    }
+    if (!value.IsScalar() || value.Scalar().empty()) {
+        report_problem(value, key, "text");
+        return {};
+    }
+    return value.Scalar();
+}
+
+std::string settings_reader::text(const std::string& key, const std::string& otherwise)
+{
+    return take(key, false).IsDefined() ? text(key) : otherwise;
+}
+
+std::string settings_reader::choice(const std::string& key, const std::vector<std::string>& words)
+{
+    const YAML::Node value = take(key, true);
+    const bool scalar = value.IsDefined() && value.IsScalar();
+    if (scalar && std::find(words.begin(), words.end(), value.Scalar()) != words.end()) {
+        return value.Scalar();
+    }
+    std::string expected = "one of";
+    for (const std::string& word : words) {
+        expected.append(" ").append(word);
+    }
+    if (value.IsDefined()) {
+        report_problem(value, key, expected);
+    }
+    return words.front();
+}
+
+std::int64_t settings_reader::number(const std::string& key, std::int64_t otherwise,
+                                     std::int64_t low, std::int64_t high)
+{
+    const YAML::Node value = take(key, false);
+    if (!value.IsDefined()) {
+        return otherwise;
+    }
+    auto parsed = value.IsScalar() ? parse_number(value.Scalar())
+                                   : outcome<std::int64_t>(failure{"a whole number"});
+    if (!succeeded(parsed) || value_of(parsed) < low || value_of(parsed) > high) {
+        report_problem(value, key,
+                       "a whole number from " + std::to_string(low) + " to " +
+                           std::to_string(high));
+        return otherwise;
+    }
+    return value_of(parsed);
+}
+
+duration settings_reader::span(const std::string& key, duration otherwise)
+{
+    const YAML::Node value = take(key, false);
+    if (!value.IsDefined()) {
+        return otherwise;
+    }
+    auto parsed = parse_span(value.IsScalar() ? value.Scalar() : std::string());
+    if (!succeeded(parsed)) {
+        report_problem(value, key, failure_of(parsed).message);
+        return otherwise;
+    }
+    return value_of(parsed);
+}
+
+endpoint settings_reader::address(const std::string& key)
+{
+    const YAML::Node value = take(key, true);
+    if (!value.IsDefined()) {
+        return {};
+    }
+    auto parsed = parse_endpoint(value.IsScalar() ? value.Scalar() : std::string());
+    if (!succeeded(parsed)) {
+        report_problem(value, key,
+                       "an IP number and port such as 127.0.0.1:8080 (" +
+                           failure_of(parsed).message + ")");
+        return {};
+    }
+    return value_of(parsed);
+}
+
+std::vector<endpoint> settings_reader::addresses(const std::string& key)
+{
+    std::vector<endpoint> points;
+    const YAML::Node value = take(key, true);
+    if (!value.IsDefined()) {
+        return points;
+    }
+    if (!value.IsSequence() || value.size() == 0) {
+        report_problem(value, key, "a sequence of address:port");
+        return points;
+    }
+    for (const YAML::Node& item : value) {
+        auto parsed = parse_endpoint(item.IsScalar() ? item.Scalar() : std::string());
+        if (succeeded(parsed)) {
+            points.push_back(value_of(parsed));
+        }
+        else {
+            report_problem(item, key, "an IP number and port (" + failure_of(parsed).message + ")");
+        }
+    }
+    return points;
+}
+
+std::vector<std::string> settings_reader::finish()
+{
+    for (const auto& item : node_) {
+        const std::string key = item.first.Scalar();
+        if (!read_keys_.contains(key)) {
+            report_problem(item.first, key, "a known key; this one is unknown");
+        }
+    }
+    return report_->problems;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/callers/http_server.cpp
@@ -0,0 +1,136 @@
+#include "callers/http_server.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QThread>
+#include <QTimer>
+#include <atomic>
+#include <vector>
+
+#include "callers/http_connection.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr int accept_backlog = 1024;
+constexpr milliseconds sweep_interval(250);
+
+/// Accepts connections and leaves what to do with them to a function.
+class descriptor_server : public QTcpServer {
+public:
+    explicit descriptor_server(std::function<void(qintptr)> accept) : accept_(std::move(accept)) {}
+
+protected:
+    void incomingConnection(qintptr descriptor) override { accept_(descriptor); }
+
+private:
+    std::function<void(qintptr)> accept_;
+};
+
+/// One thread with an event loop, and the object that owns the connections on it.
+struct worker {
+    QThread thread;
+    QObject* loop = nullptr;
+};
+
+}  // namespace
+
+struct http_server::implementation {
+    http_server_options options;
+    http_handler handler;
+    http_server_counters counters;
+    std::unique_ptr<descriptor_server> listener;
+    std::vector<std::unique_ptr<worker>> workers;
+    std::size_t next_worker = 0;
+
+    void start_worker();
+    void hand_over(qintptr descriptor);
+};
+
+void http_server::implementation::start_worker()
+{
+    auto it = std::make_unique<worker>();
+    it->loop = new QObject;
+    it->loop->moveToThread(&it->thread);
+    QObject* const loop = it->loop;
+    QObject::connect(&it->thread, &QThread::finished, loop, &QObject::deleteLater);
+    it->thread.start();
+    QMetaObject::invokeMethod(loop, [loop] {
+        auto* timer = new QTimer(loop);
+        QObject::connect(timer, &QTimer::timeout, loop, [loop] {
+            const time_point now = monotonic_clock::now();
+            for (QObject* child : loop->children()) {
+                if (auto* connection = dynamic_cast<http_connection*>(child)) {
+                    connection->check_timeouts(now);
+                }
+            }
+        });
+        timer->start(sweep_interval);
+    });
+    workers.push_back(std::move(it));
+}
+
+void http_server::implementation::hand_over(qintptr descriptor)
+{
+    worker& it = *workers[next_worker++ % workers.size()];
+    QObject* const loop = it.loop;
+    QMetaObject::invokeMethod(loop, [this, loop, descriptor] {
+        new http_connection(descriptor, options, handler, counters, loop);
+    });
+}
+
+http_server::http_server(http_server_options options, http_handler handler)
+    : impl_(std::make_unique<implementation>())
+{
+    impl_->options = std::move(options);
+    impl_->handler = std::move(handler);
+}
+
+http_server::~http_server() { stop(); }
+
+outcome<endpoint> http_server::start()
+{
+    for (int n = 0; n < impl_->options.threads; ++n) {
+        impl_->start_worker();
+    }
+    impl_->listener = std::make_unique<descriptor_server>(
+        [this](qintptr descriptor) { impl_->hand_over(descriptor); });
+    impl_->listener->setListenBacklogSize(accept_backlog);
+    const endpoint& listen = impl_->options.listen;
+    if (!impl_->listener->listen(QHostAddress(QString::fromStdString(listen.address)),
+                                 listen.port)) {
+        return failure{"cannot listen on " + to_string(listen) + ": " +
+                       impl_->listener->errorString().toStdString()};
+    }
+    impl_->options.listen.port = impl_->listener->serverPort();
+    return impl_->options.listen;
+}
+
+void http_server::drain()
+{
+    impl_->counters.draining = true;
+    if (impl_->listener) {
+        impl_->listener->close();
+    }
+}
+
+void http_server::stop()
+{
+    if (impl_->listener) {
+        impl_->listener->close();
+    }
+    for (const auto& it : impl_->workers) {
+        QObject* const loop = it->loop;
+        QMetaObject::invokeMethod(
+            loop, [loop] { qDeleteAll(loop->children()); }, Qt::BlockingQueuedConnection);
+        it->thread.quit();
+        it->thread.wait();
+    }
+    impl_->workers.clear();
+}
+
+int http_server::open_connections() const { return impl_->counters.connections; }
+
+int http_server::open_requests() const { return impl_->counters.requests; }
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/control/control_options.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "core/consensus/membership.h"
+
+namespace balsamdrift {
+
+/// Settings of a control member.
+struct control_options {
+    std::string name;
+    std::string data_folder;
+    /// All control members, this one included: names and fleet addresses.
+    std::vector<voter> members;
+    duration heartbeat_interval = milliseconds(100);
+    duration election_timeout = milliseconds(600);
+    duration election_jitter = milliseconds(400);
+    /// How long an entry serves after it asked for its lease.
+    duration lease_duration = seconds(2);
+    /// A snapshot replaces the log when the log file is larger than this.
+    std::uint64_t snapshot_log_bytes = std::uint64_t{1024} * 1024;
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/control/control_service.cpp
@@ -0,0 +1,495 @@
+#include "control/control_service.h"
+
+#include <QThread>
+#include <algorithm>
+#include <random>
+
+#include "base/codec.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "core/ownership/assignment.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr milliseconds tick_interval(10);
+constexpr milliseconds assign_interval(50);
+constexpr seconds reopen_interval(1);
+constexpr std::size_t most_recalls = 4;
+constexpr std::size_t kept_recent_entries = 4096;
+constexpr std::size_t session_secret_bytes = 32;
+
+/// What travels on the consensus channel.
+struct consensus_frame {
+    replica_id from;
+    replica_id to;
+    std::string message;
+    MSGPACK_DEFINE(from, to, message)
+};
+
+std::string random_secret()
+{
+    std::random_device device;
+    std::string secret;
+    for (std::size_t n = 0; n < session_secret_bytes; ++n) {
+        secret.push_back(static_cast<char>(device()));
+    }
+    return secret;
+}
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
+}  // namespace
+
+control_service::control_service(control_options options, fleet_node& fleet)
+    : options_(std::move(options)), fleet_(fleet)
+{
+    connect(&timer_, &QTimer::timeout, this, &control_service::on_tick);
+    timer_.setTimerType(Qt::PreciseTimer);
+}
+
+control_service::~control_service() = default;
+
+outcome<std::monostate> control_service::start()
+{
+    if (auto res = open_storage(); !succeeded(res)) {
+        return res;
+    }
+    timer_.start(tick_interval);
+    publish_status();
+    return std::monostate{};
+}
+
+outcome<std::monostate> control_service::open_storage()
+{
+    auto opened = log_storage::open(options_.data_folder, storage_);
+    if (!succeeded(opened)) {
+        return failure_of(opened);
+    }
+    opened_storage& it = value_of(opened);
+    if (it.discarded_bytes > 0) {
+        log_event(event_id::log_tail_discarded, {{"bytes", std::to_string(it.discarded_bytes)}});
+    }
+    registry_ = {};
+    if (!it.stored.log.snapshot.state.empty()) {
+        auto decoded = decode<registry>(it.stored.log.snapshot.state);
+        if (!succeeded(decoded)) {
+            return failure_of(decoded);
+        }
+        registry_ = std::move(value_of(decoded));
+    }
+    recent_.clear();
+    consensus_options conf{.self = {options_.name, it.incarnation},
+                           .address = fleet_.address(),
+                           .seeds = options_.members,
+                           .heartbeat_interval = options_.heartbeat_interval,
+                           .election_timeout = options_.election_timeout,
+                           .election_jitter = options_.election_jitter,
+                           .may_form = it.may_form,
+                           .random_seed = random_seed()};
+    consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
+    return std::monostate{};
+}
+
+void control_service::receive(fleet_message message)
+{
+    QMetaObject::invokeMethod(
+        this, [this, message = std::move(message)] { on_message(message); }, Qt::QueuedConnection);
+}
+
+void control_service::on_message(const fleet_message& message)
+{
+    if (!consensus_) {
+        return;
+    }
+    if (message.channel == fleet_channel::consensus) {
+        on_consensus(message);
+    }
+    else if (message.channel == fleet_channel::lease) {
+        on_lease(message);
+    }
+}
+
+void control_service::on_consensus(const fleet_message& message)
+{
+    auto frame = decode<consensus_frame>(message.body);
+    if (!succeeded(frame)) {
+        return;
+    }
+    auto decoded = decode_variant<consensus_message>(value_of(frame).message);
+    if (succeeded(decoded)) {
+        run_step(
+            member_message{value_of(frame).from, value_of(frame).to, std::move(value_of(decoded))});
+    }
+}
+
+void control_service::run_step(const consensus_event& event)
+{
+    for (const consensus_action& it : step(*consensus_, event, monotonic_clock::now())) {
+        if (!perform(it)) {
+            return;
+        }
+    }
+}
+
+bool control_service::perform(const consensus_action& action)
+{
+    outcome<std::monostate> saved = std::monostate{};
+    std::visit(
+        overloaded{
+            [&](const save_vote& it) { saved = storage_.write(it); },
+            [&](const save_entries& it) { saved = storage_.write(it); },
+            [&](const save_snapshot& it) {
+                saved =
+                    storage_.write_snapshot(it.snapshot, {consensus_->term, consensus_->voted_for},
+                                            consensus_->log.entries);
+                log_event(event_id::snapshot_saved, {{"index", std::to_string(it.snapshot.index)}});
+            },
+            [&](const adopt_snapshot& it) {
+                saved =
+                    storage_.write_snapshot(it.snapshot, {consensus_->term, consensus_->voted_for},
+                                            consensus_->log.entries);
+                auto decoded = decode<registry>(it.snapshot.state);
+                if (succeeded(decoded)) {
+                    registry_ = std::move(value_of(decoded));
+                    recent_.clear();
+                }
+                log_event(event_id::snapshot_installed,
+                          {{"index", std::to_string(it.snapshot.index)}});
+            },
+            [&](const send_to_member& it) {
+                const consensus_frame frame{consensus_->options.self, it.to,
+                                            encode_variant(it.message)};
+                fleet_.send(it.address, fleet_channel::consensus, encode(frame));
+            },
+            [&](const apply_entries& it) { perform_apply(it); },
+            [&](const leadership_changed& it) {
+                log_event(it.leads ? event_id::leader_elected : event_id::leadership_lost,
+                          {{"term", std::to_string(it.term)}});
+                leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
+                if (!it.leads) {
+                    fail_proposals();
+                }
+            },
+            [&](const formation_done&) { log_event(event_id::formation_completed); },
+        },
+        action);
+    if (!succeeded(saved)) {
+        fail_storage(failure_of(saved).message);
+        return false;
+    }
+    return true;
+}
+
+void control_service::fail_storage(const std::string& message)
+{
+    log_event(event_id::storage_failed, {{"reason", message}});
+    consensus_.reset();
+    reopen_at_ = monotonic_clock::now() + reopen_interval;
+    fail_proposals();
+    publish_status();
+}
+
+void control_service::perform_apply(const apply_entries& action)
+{
+    for (const log_entry& it : action.entries) {
+        change_result result;
+        if (it.kind == entry_kind::command) {
+            result = apply_encoded(registry_, it.index, it.data);
+        }
+        registry_.index = it.index;
+        recent_.push_back(it);
+        if (recent_.size() > kept_recent_entries) {
+            recent_.pop_front();
+        }
+        resolve(it.index, it.term, result);
+    }
+    push_configuration();
+    publish_status();
+}
+
+void control_service::resolve(std::uint64_t index, std::uint64_t term, const change_result& result)
+{
+    const auto [first, last] = waiting_.equal_range(index);
+    for (auto it = first; it != last; ++it) {
+        if (it->second.term == term) {
+            it->second.on_done(result);
+        }
+        else {
+            it->second.on_done(unsettled{});
+        }
+    }
+    waiting_.erase(first, last);
+}
+
+void control_service::fail_proposals()
+{
+    for (auto& [index, it] : std::exchange(waiting_, {})) {
+        it.on_done(unsettled{});
+    }
+    for (auto& it : std::exchange(queued_, {})) {
+        it.on_done(not_leading{leader_address()});
+    }
+}
+
+void control_service::propose(registry_command command, proposal_handler on_done)
+{
+    std::string data = encode_variant(command);
+    QMetaObject::invokeMethod(
+        this,
+        [this, data = std::move(data), on_done = std::move(on_done)] {
+            queued_.push_back({data, on_done});
+            // All proposals that wait in the event loop share one append and one sync.
+            if (!flush_scheduled_) {
+                flush_scheduled_ = true;
+                QMetaObject::invokeMethod(this, &control_service::flush_proposals,
+                                          Qt::QueuedConnection);
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+void control_service::propose_internal(const registry_command& command)
+{
+    propose(command, [](const proposal_outcome&) {});
+}
+
+void control_service::flush_proposals()
+{
+    flush_scheduled_ = false;
+    if (!consensus_ || !holds_leadership(*consensus_, monotonic_clock::now())) {
+        for (auto& it : std::exchange(queued_, {})) {
+            it.on_done(not_leading{leader_address()});
+        }
+        return;
+    }
+    commands_proposed event;
+    std::uint64_t index = last_index(consensus_->log);
+    for (queued_proposal& it : std::exchange(queued_, {})) {
+        event.commands.push_back(std::move(it.command));
+        waiting_.emplace(++index, waiting_proposal{consensus_->term, std::move(it.on_done)});
+    }
+    run_step(event);
+}
+
+std::string control_service::leader_address() const
+{
+    if (!consensus_ || !consensus_->leader) {
+        return {};
+    }
+    const voter* it = find_by_name(consensus_->members, consensus_->leader->name);
+    return it == nullptr ? std::string() : it->address;
+}
+
+void control_service::on_lease(const fleet_message& message)
+{
+    auto decoded = decode_variant<lease_message>(message.body);
+    if (succeeded(decoded)) {
+        std::visit([&](const auto& it) { handle(it, message.sender); }, value_of(decoded));
+    }
+}
+
+void control_service::handle(const lease_request& it, const std::string& sender)
+{
+    const time_point now = monotonic_clock::now();
+    if (!holds_leadership(*consensus_, now)) {
+        fleet_.send(sender, fleet_channel::lease,
+                    encode_variant(lease_message(not_leader{leader_address()})));
+        return;
+    }
+    const auto known = registry_.entries.find(it.entry);
+    const replica_id id{it.entry, it.record.incarnation};
+    if (known == registry_.entries.end() || known->second != it.record) {
+        // An earlier process of the same name may still serve until its lease has run out.
+        const replica_id earlier{it.entry, known == registry_.entries.end()
+                                               ? it.record.incarnation
+                                               : known->second.incarnation};
+        const bool may_serve =
+            earlier != id &&
+            expired_entries(leases_, {earlier}, options_.lease_duration, now).empty();
+        if (!may_serve) {
+            log_event(event_id::entry_registered, {{"entry", it.entry}});
+            propose_internal(register_entry{it.entry, it.record});
+        }
+        return;
+    }
+    grant(leases_, id, {.address = sender, .index = it.index, .draining = it.draining},
+          options_.lease_duration, now);
+    fleet_.send(sender, fleet_channel::lease, encode_variant(lease_message(make_grant(it))));
+}
+
+lease_grant control_service::make_grant(const lease_request& it) const
+{
+    lease_grant answer{.incarnation = it.record.incarnation,
+                       .sent_at = it.sent_at,
+                       .lease_ms = to_milliseconds(options_.lease_duration).count(),
+                       .snapshot = {},
+                       .entries = {}};
+    const bool gap =
+        recent_.empty() ? it.index < registry_.index : it.index + 1 < recent_.front().index;
+    if (gap) {
+        answer.snapshot = encode(registry_);
+        return answer;
+    }
+    std::copy_if(recent_.begin(), recent_.end(), std::back_inserter(answer.entries),
+                 [&](const log_entry& entry) { return entry.index > it.index; });
+    return answer;
+}
+
+void control_service::push_configuration()
+{
+    if (!consensus_ || !holds_leadership(*consensus_, monotonic_clock::now())) {
+        return;
+    }
+    for (const auto& [id, lease] : leases_.leases) {
+        if (lease.index >= registry_.index) {
+            continue;
+        }
+        lease_request behind{.index = lease.index};
+        behind.record.incarnation = id.incarnation;
+        lease_grant update = make_grant(behind);
+        update.lease_ms = 0;
+        fleet_.send(lease.address, fleet_channel::lease, encode_variant(lease_message(update)));
+    }
+}
+
+void control_service::handle(const owner_command& it, const std::string&)
+{
+    auto command = decode_variant<registry_command>(it.command);
+    if (succeeded(command)) {
+        propose_internal(value_of(command));
+    }
+}
+
+void control_service::handle(const lease_return& it, const std::string&)
+{
+    leases_.leases.erase(it.entry);
+    propose_internal(expire_entry{it.entry});
+}
+
+void control_service::handle(const lease_grant&, const std::string&) {}
+
+void control_service::handle(const not_leader&, const std::string&) {}
+
+std::vector<replica_id> control_service::registered_entries() const
+{
+    std::vector<replica_id> ids;
+    for (const auto& [name, it] : registry_.entries) {
+        ids.push_back({name, it.incarnation});
+    }
+    return ids;
+}
+
+void control_service::expire_entries(time_point now)
+{
+    for (const replica_id& it :
+         expired_entries(leases_, registered_entries(), options_.lease_duration, now)) {
+        log_event(event_id::entry_expired, {{"entry", it.name}});
+        leases_.leases.erase(it);
+        propose_internal(expire_entry{it});
+    }
+}
+
+void control_service::assign_owners(time_point now)
+{
+    const assignment_plan plan =
+        plan_assignments(registry_, live_entries(leases_, now), most_recalls);
+    if (!plan.assign.items.empty()) {
+        log_event(event_id::item_assigned, {{"items", std::to_string(plan.assign.items.size())}});
+        propose_internal(plan.assign);
+    }
+    if (!plan.recall.items.empty()) {
+        propose_internal(plan.recall);
+    }
+}
+
+void control_service::finish_preset_switch(time_point now)
+{
+    const preset_record& record = registry_.preset;
+    if (record.switching && all_confirmed(leases_, registered_entries(), record.switch_index,
+                                          options_.lease_duration, now)) {
+        propose_internal(activate_preset{record.switch_index});
+    }
+}
+
+void control_service::lead()
+{
+    const time_point now = monotonic_clock::now();
+    if (!consensus_ || !holds_leadership(*consensus_, now)) {
+        return;
+    }
+    finish_preset_switch(now);
+    if (now < assign_at_) {
+        return;
+    }
+    assign_at_ = now + assign_interval;
+    if (registry_.session_secret.empty()) {
+        propose_internal(set_session_secret{random_secret()});
+    }
+    expire_entries(now);
+    assign_owners(now);
+}
+
+void control_service::compact_log()
+{
+    if (storage_.log_bytes() < options_.snapshot_log_bytes ||
+        consensus_->applied_index <= consensus_->log.snapshot.index) {
+        return;
+    }
+    run_step(snapshot_taken{consensus_->applied_index, encode(registry_)});
+}
+
+void control_service::on_tick()
+{
+    if (!consensus_) {
+        if (monotonic_clock::now() >= reopen_at_) {
+            reopen_at_ = monotonic_clock::now() + reopen_interval;
+            (void)open_storage();
+        }
+        return;
+    }
+    run_step(clock_ticked{});
+    if (consensus_) {
+        lead();
+        compact_log();
+    }
+    publish_status();
+}
+
+void control_service::publish_status()
+{
+    const time_point now = monotonic_clock::now();
+    control_status fresh;
+    fresh.name = options_.name;
+    if (consensus_) {
+        fresh.serves = true;
+        fresh.leads = holds_leadership(*consensus_, now);
+        fresh.leader = consensus_->leader ? consensus_->leader->name : std::string();
+        fresh.term = consensus_->term;
+        fresh.commit_index = consensus_->commit_index;
+        fresh.members = consensus_->members;
+        for (const auto& [id, lease] : leases_.leases) {
+            fresh.entry_index[id.name] = lease.index;
+        }
+    }
+    const std::lock_guard lock(status_mutex_);
+    fresh.state = status_.state;
+    fresh.registry_hash = status_.registry_hash;
+    if (!fresh.state || fresh.state->index != registry_.index) {
+        fresh.state = std::make_shared<const registry>(registry_);
+        fresh.registry_hash = state_hash(registry_);
+    }
+    status_ = std::move(fresh);
+}
+
+control_status control_service::status() const
+{
+    const std::lock_guard lock(status_mutex_);
+    return status_;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/control/lease_table.cpp
@@ -0,0 +1,67 @@
+#include "control/lease_table.h"
+
+#include <algorithm>
+
+namespace balsamdrift {
+namespace {
+
+/// Most that two monotonic clocks drift apart, in parts of a thousand.
+constexpr int clock_drift_permille = 10;
+
+duration with_drift(duration span) { return span + span * clock_drift_permille / 1000; }
+
+/// Until when the process may serve under a lease of this leader or of an earlier one.
+time_point may_serve_until(const lease_table& table, const replica_id& entry, duration lease)
+{
+    const time_point earlier_leader = table.leading_since + with_drift(lease);
+    const auto it = table.leases.find(entry);
+    return it == table.leases.end() ? earlier_leader : std::max(earlier_leader, it->second.ends_at);
+}
+
+}  // namespace
+
+void grant(lease_table& table, const replica_id& entry, const entry_lease& confirmed,
+           duration lease, time_point now)
+{
+    entry_lease& it = table.leases[entry];
+    it.address = confirmed.address;
+    it.ends_at = now + with_drift(lease);
+    it.index = std::max(it.index, confirmed.index);
+    it.draining = confirmed.draining;
+}
+
+std::set<replica_id> live_entries(const lease_table& table, time_point now)
+{
+    std::set<replica_id> live;
+    for (const auto& [entry, lease] : table.leases) {
+        if (lease.ends_at > now && !lease.draining) {
+            live.insert(entry);
+        }
+    }
+    return live;
+}
+
+std::vector<replica_id> expired_entries(const lease_table& table,
+                                        const std::vector<replica_id>& registered, duration lease,
+                                        time_point now)
+{
+    std::vector<replica_id> expired;
+    for (const replica_id& it : registered) {
+        if (may_serve_until(table, it, lease) <= now) {
+            expired.push_back(it);
+        }
+    }
+    return expired;
+}
+
+bool all_confirmed(const lease_table& table, const std::vector<replica_id>& registered,
+                   std::uint64_t index, duration lease, time_point now)
+{
+    return std::all_of(registered.begin(), registered.end(), [&](const replica_id& it) {
+        const auto found = table.leases.find(it);
+        const bool confirmed = found != table.leases.end() && found->second.index >= index;
+        return confirmed || may_serve_until(table, it, lease) <= now;
+    });
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/control/log_storage.cpp
@@ -0,0 +1,256 @@
+#include "control/log_storage.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <cstring>
+#include <filesystem>
+#include <random>
+
+#include "base/codec.h"
+#include "control/synced_file.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr int file_mode = 0600;
+
+/// Records of the log file.
+struct vote_record {
+    std::uint64_t term = 0;
+    std::string voted_for;
+    MSGPACK_DEFINE(term, voted_for)
+};
+struct entries_record {
+    std::uint64_t first_index = 0;
+    std::vector<log_entry> entries;
+    MSGPACK_DEFINE(first_index, entries)
+};
+using log_record = std::variant<vote_record, entries_record, log_snapshot>;
+
+/// Each record is preceded by its length and checksum.
+struct record_header {
+    std::uint64_t length = 0;
+    std::uint64_t checksum = 0;
+};
+
+std::uint64_t checksum_of(std::string_view bytes) { return XXH64(bytes.data(), bytes.size(), 0); }
+
+std::string frame_record(const log_record& record)
+{
+    const std::string body = encode_variant(record);
+    const record_header header{body.size(), checksum_of(body)};
+    std::string framed(sizeof header, '\0');
+    std::memcpy(framed.data(), &header, sizeof header);
+    return framed + body;
+}
+
+/// Replays one record. False when it does not continue the log.
+bool replay(stored_consensus& stored, log_record record)
+{
+    if (auto* vote = std::get_if<vote_record>(&record)) {
+        stored.term = vote->term;
+        stored.voted_for = vote->voted_for;
+        return true;
+    }
+    if (auto* snapshot = std::get_if<log_snapshot>(&record)) {
+        stored.log = {.snapshot = std::move(*snapshot), .entries = {}};
+        return true;
+    }
+    auto& entries = std::get<entries_record>(record);
+    if (entries.first_index <= stored.log.snapshot.index ||
+        entries.first_index > last_index(stored.log) + 1) {
+        return false;
+    }
+    truncate_from(stored.log, entries.first_index);
+    for (log_entry& it : entries.entries) {
+        if (it.index != last_index(stored.log) + 1) {
+            return false;
+        }
+        stored.log.entries.push_back(std::move(it));
+    }
+    return true;
+}
+
+/// Replays the log file into `stored` and returns how many bytes are whole. A record that is cut
+/// short by the end of the file was never synced and is left out; anything else that is wrong may
+/// have been acknowledged and makes the folder unusable.
+outcome<std::size_t> replay_log(std::string_view bytes, stored_consensus& stored)
+{
+    std::size_t offset = 0;
+    while (bytes.size() - offset >= sizeof(record_header)) {
+        record_header header;
+        std::memcpy(&header, bytes.data() + offset, sizeof header);
+        const std::size_t available = bytes.size() - offset - sizeof header;
+        if (header.length > available) {
+            return offset;
+        }
+        const std::string_view body = bytes.substr(offset + sizeof header, header.length);
+        auto record = decode_variant<log_record>(body);
+        if (checksum_of(body) != header.checksum || !succeeded(record)) {
+            return failure{"a record's checksum is wrong"};
+        }
+        if (!replay(stored, std::move(value_of(record)))) {
+            return failure{"a record does not continue the log"};
+        }
+        offset += sizeof header + header.length;
+    }
+    return offset;
+}
+
+/// Reads the files of a folder. The failure says why the folder cannot be used.
+outcome<opened_storage> load(const std::string& folder)
+{
+    namespace fs = std::filesystem;
+    opened_storage opened;
+    if (!fs::exists(folder + "/incarnation")) {
+        return opened;
+    }
+    auto incarnation = read_file(folder + "/incarnation");
+    if (!succeeded(incarnation) || value_of(incarnation).size() != sizeof opened.incarnation) {
+        return failure{"the incarnation file is damaged"};
+    }
+    std::memcpy(&opened.incarnation, value_of(incarnation).data(), sizeof opened.incarnation);
+    auto log = read_file(folder + "/log");
+    if (!succeeded(log)) {
+        return failure{"the log file is missing"};
+    }
+    auto whole = replay_log(value_of(log), opened.stored);
+    if (!succeeded(whole)) {
+        return failure_of(whole);
+    }
+    opened.discarded_bytes = value_of(log).size() - value_of(whole);
+    if (opened.discarded_bytes > 0 &&
+        ::truncate((folder + "/log").c_str(), static_cast<off_t>(value_of(whole))) != 0) {
+        return failure{"the end of the log cannot be cut off"};
+    }
+    return opened;
+}
+
+/// Creates the files of a new folder; the incarnation comes last and makes the folder valid.
+outcome<std::monostate> create_files(const std::string& folder, std::uint64_t incarnation)
+{
+    if (auto res = replace_file(folder, "log", ""); !succeeded(res)) {
+        return res;
+    }
+    std::string bytes(sizeof incarnation, '\0');
+    std::memcpy(bytes.data(), &incarnation, sizeof incarnation);
+    return replace_file(folder, "incarnation", bytes);
+}
+
+std::uint64_t random_incarnation()
+{
+    std::random_device device;
+    const std::uint64_t high = device();
+    return ((high << 32) | device()) | 1;
+}
+
+/// Moves the files of a damaged folder into a subfolder, for a person to look at.
+outcome<std::monostate> set_aside(const std::string& folder)
+{
+    namespace fs = std::filesystem;
+    std::error_code ec;
+    const std::string aside = folder + "/damaged";
+    fs::remove_all(aside, ec);
+    fs::create_directory(aside, ec);
+    for (const char* name : {"incarnation", "log"}) {
+        if (fs::exists(folder + "/" + name)) {
+            fs::rename(folder + "/" + name, aside + "/" + name, ec);
+        }
+    }
+    return ec ? outcome<std::monostate>(failure{"cannot set damaged files aside: " + ec.message()})
+              : std::monostate{};
+}
+
+}  // namespace
+
+log_storage::~log_storage() { close_log(); }
+
+void log_storage::close_log()
+{
+    if (log_fd_ >= 0) {
+        ::close(log_fd_);
+        log_fd_ = -1;
+    }
+}
+
+outcome<std::monostate> log_storage::open_log()
+{
+    close_log();
+    log_fd_ = ::open((folder_ + "/log").c_str(), O_WRONLY | O_APPEND | O_CLOEXEC, file_mode);
+    struct stat info {};
+    if (log_fd_ < 0 || ::fstat(log_fd_, &info) != 0) {
+        return failure{std::string("cannot open the log: ") + std::strerror(errno)};
+    }
+    log_bytes_ = static_cast<std::uint64_t>(info.st_size);
+    return std::monostate{};
+}
+
+outcome<opened_storage> log_storage::open(const std::string& folder, log_storage& storage)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(folder, ec);
+    storage.folder_ = folder;
+    auto opened = load(folder);
+    const bool damaged = !succeeded(opened);
+    if (damaged) {
+        if (auto res = set_aside(folder); !succeeded(res)) {
+            return failure_of(res);
+        }
+        opened = opened_storage{};
+    }
+    opened_storage& it = value_of(opened);
+    if (std::filesystem::exists(folder + "/damaged")) {
+        it.may_form = false;
+    }
+    if (it.incarnation == 0) {
+        it.incarnation = random_incarnation();
+        if (auto res = create_files(folder, it.incarnation); !succeeded(res)) {
+            return failure_of(res);
+        }
+    }
+    if (auto res = storage.open_log(); !succeeded(res)) {
+        return failure_of(res);
+    }
+    return opened;
+}
+
+outcome<std::monostate> log_storage::append_record(const std::string& record)
+{
+    if (auto res = write_all(log_fd_, record); !succeeded(res)) {
+        return res;
+    }
+    if (::fdatasync(log_fd_) != 0) {
+        return failure{std::string("cannot sync the log: ") + std::strerror(errno)};
+    }
+    log_bytes_ += record.size();
+    return std::monostate{};
+}
+
+outcome<std::monostate> log_storage::write(const save_vote& action)
+{
+    return append_record(frame_record(vote_record{action.term, action.voted_for}));
+}
+
+outcome<std::monostate> log_storage::write(const save_entries& action)
+{
+    return append_record(frame_record(entries_record{action.first_index, action.entries}));
+}
+
+outcome<std::monostate> log_storage::write_snapshot(const log_snapshot& snapshot,
+                                                    const save_vote& vote,
+                                                    const std::vector<log_entry>& entries_after)
+{
+    std::string log = frame_record(snapshot) + frame_record(vote_record{vote.term, vote.voted_for});
+    if (!entries_after.empty()) {
+        log += frame_record(entries_record{entries_after.front().index, entries_after});
+    }
+    if (auto res = replace_file(folder_, "log", log); !succeeded(res)) {
+        return res;
+    }
+    return open_log();
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/control/synced_file.cpp
@@ -0,0 +1,84 @@
+#include "control/synced_file.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+
+namespace balsamdrift {
+namespace {
+
+constexpr int file_mode = 0600;
+
+failure system_failure(const std::string& what) { return {what + ": " + std::strerror(errno)}; }
+
+}  // namespace
+
+outcome<std::monostate> write_all(int fd, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR) {
+            continue;
+        }
+        if (n <= 0) {
+            return system_failure("cannot write");
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return std::monostate{};
+}
+
+outcome<std::monostate> sync_folder(const std::string& folder)
+{
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0) {
+        return system_failure("cannot open folder " + folder);
+    }
+    const int res = ::fsync(fd);
+    ::close(fd);
+    if (res != 0) {
+        return system_failure("cannot sync folder " + folder);
+    }
+    return std::monostate{};
+}
+
+outcome<std::monostate> replace_file(const std::string& folder, const std::string& name,
+                                     std::string_view content)
+{
+    const std::string path = folder + "/" + name;
+    const std::string fresh = path + ".new";
+    const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    if (fd < 0) {
+        return system_failure("cannot create " + fresh);
+    }
+    auto written = write_all(fd, content);
+    const bool synced = ::fdatasync(fd) == 0;
+    ::close(fd);
+    if (!succeeded(written)) {
+        return written;
+    }
+    if (!synced || std::rename(fresh.c_str(), path.c_str()) != 0) {
+        return system_failure("cannot replace " + path);
+    }
+    return sync_folder(folder);
+}
+
+outcome<std::string> read_file(const std::string& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        return failure{"cannot open " + path};
+    }
+    std::string content{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (in.bad()) {
+        return failure{"cannot read " + path};
+    }
+    return content;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/consensus/consensus.cpp
@@ -0,0 +1,672 @@
+#include "core/consensus/consensus.h"
+
+#include <algorithm>
+
+#include "base/codec.h"
+#include "base/invariant.h"
+
+namespace balsamdrift {
+namespace {
+
+using actions = std::vector<consensus_action>;
+
+std::int64_t to_nanoseconds(time_point at)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(at.time_since_epoch()).count();
+}
+
+time_point from_nanoseconds(std::int64_t at) { return time_point(std::chrono::nanoseconds(at)); }
+
+void reset_election_timer(consensus_state& state, time_point now)
+{
+    const duration jitter =
+        random_between(state.random, duration{0}, state.options.election_jitter);
+    state.election_at = now + state.options.election_timeout + jitter;
+}
+
+void send(actions& out, const voter& to, consensus_message message)
+{
+    out.push_back(send_to_member{to.id, to.address, std::move(message)});
+}
+
+std::vector<voter> other_voters(const consensus_state& state)
+{
+    std::vector<voter> others = state.members.voters;
+    std::erase_if(others, [&](const voter& it) { return it.id == state.options.self; });
+    return others;
+}
+
+/// Address of a member, as far as membership, joining members and settings tell.
+std::string address_of(const consensus_state& state, const replica_id& id)
+{
+    const membership& members = state.members;
+    if (const voter* it = find_by_name(members, id.name)) {
+        return it->address;
+    }
+    for (const voter& it : state.options.seeds) {
+        if (it.id.name == id.name) {
+            return it.address;
+        }
+    }
+    return {};
+}
+
+void reply(const consensus_state& state, actions& out, const replica_id& to,
+           consensus_message message)
+{
+    out.push_back(send_to_member{to, address_of(state, to), std::move(message)});
+}
+
+void adopt_term(consensus_state& state, actions& out, std::uint64_t term)
+{
+    BALSAMDRIFT_INVARIANT(term > state.term);
+    state.term = term;
+    state.voted_for.clear();
+    state.leader.reset();
+    out.push_back(save_vote{state.term, state.voted_for});
+}
+
+void become_follower(consensus_state& state, actions& out, time_point now)
+{
+    if (state.role == consensus_role::leader) {
+        out.push_back(leadership_changed{false, state.term});
+        state.joining.clear();
+        state.progress.clear();
+    }
+    state.role = consensus_role::follower;
+    state.votes.clear();
+    reset_election_timer(state, now);
+}
+
+/// Takes over a membership as soon as it stands in the log.
+void note_memberships(consensus_state& state, const std::vector<log_entry>& appended)
+{
+    for (const log_entry& it : appended) {
+        if (it.kind == entry_kind::membership) {
+            state.members = effective_membership(state.log);
+        }
+    }
+}
+
+/// Appends entries at the end of the leader's own log and saves them.
+void append_own(consensus_state& state, actions& out, std::vector<log_entry> entries)
+{
+    const std::uint64_t first = last_index(state.log) + 1;
+    std::uint64_t index = first;
+    for (log_entry& it : entries) {
+        it.index = index++;
+        it.term = state.term;
+        state.log.entries.push_back(it);
+    }
+    note_memberships(state, entries);
+    out.push_back(save_entries{first, std::move(entries)});
+}
+
+/// Sends what the member lacks, or a heartbeat when it lacks nothing.
+void replicate_to(consensus_state& state, actions& out, const voter& to,
+                  replication_progress& progress, time_point now)
+{
+    const std::uint64_t prev = progress.next_index - 1;
+    if (!knows_term_at(state.log, prev)) {
+        send(out, to, install_snapshot{state.term, state.log.snapshot, to_nanoseconds(now)});
+        progress.next_index = state.log.snapshot.index + 1;
+        return;
+    }
+    append_request request{
+        .term = state.term,
+        .prev_index = prev,
+        .prev_term = term_at(state.log, prev),
+        .entries = entries_from(state.log, progress.next_index, state.options.max_append_bytes),
+        .commit_index = state.commit_index,
+        .sent_at = to_nanoseconds(now)};
+    progress.next_index += request.entries.size();
+    send(out, to, std::move(request));
+}
+
+void replicate_to_all(consensus_state& state, actions& out, time_point now)
+{
+    for (const voter& it : other_voters(state)) {
+        replicate_to(state, out, it, state.progress[it.id], now);
+    }
+    for (auto& [name, member] : state.joining) {
+        replicate_to(state, out, member.identity, member.progress, now);
+    }
+}
+
+/// Applies what is newly committed.
+void apply_committed(consensus_state& state, actions& out)
+{
+    if (state.applied_index >= state.commit_index) {
+        return;
+    }
+    apply_entries batch;
+    while (state.applied_index < state.commit_index) {
+        ++state.applied_index;
+        batch.entries.push_back(entry_at(state.log, state.applied_index));
+    }
+    out.push_back(std::move(batch));
+}
+
+/// The highest index that a quorum of the membership in use has saved.
+std::uint64_t quorum_match(const consensus_state& state)
+{
+    const membership& members = state.members;
+    std::vector<std::uint64_t> matches;
+    for (const voter& it : members.voters) {
+        if (it.id == state.options.self) {
+            matches.push_back(last_index(state.log));
+            continue;
+        }
+        const auto found = state.progress.find(it.id);
+        matches.push_back(found == state.progress.end() ? 0 : found->second.match_index);
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    return matches[quorum_size(members) - 1];
+}
+
+void advance_commit(consensus_state& state, actions& out)
+{
+    const std::uint64_t index = quorum_match(state);
+    // Only entries of the own term are committed by counting; older ones follow with them.
+    if (index > state.commit_index && term_at(state.log, index) == state.term) {
+        state.commit_index = index;
+        apply_committed(state, out);
+    }
+}
+
+bool committed_in_own_term(const consensus_state& state)
+{
+    return state.commit_index >= state.log.snapshot.index && state.commit_index > 0 &&
+           term_at(state.log, state.commit_index) == state.term;
+}
+
+bool membership_change_pending(const consensus_state& state)
+{
+    return std::any_of(
+        state.log.entries.begin(), state.log.entries.end(), [&](const log_entry& it) {
+            return it.kind == entry_kind::membership && it.index > state.commit_index;
+        });
+}
+
+void propose_membership(consensus_state& state, actions& out, const membership& members,
+                        time_point now)
+{
+    append_own(state, out, {log_entry{.kind = entry_kind::membership, .data = encode(members)}});
+    advance_commit(state, out);
+    replicate_to_all(state, out, now);
+}
+
+/// Moves one joining member that is up to date a single step towards voting: first its lost
+/// incarnation is removed, then the new one is added. Two steps keep every old quorum in touch with
+/// every new one.
+void advance_joining(consensus_state& state, actions& out, time_point now)
+{
+    if (state.role != consensus_role::leader || !committed_in_own_term(state) ||
+        membership_change_pending(state)) {
+        return;
+    }
+    for (auto& [name, member] : state.joining) {
+        if (member.progress.match_index < state.commit_index) {
+            continue;
+        }
+        membership members = state.members;
+        if (find_by_name(members, name) != nullptr) {
+            std::erase_if(members.voters, [&](const voter& it) { return it.id.name == name; });
+            propose_membership(state, out, members, now);
+            return;
+        }
+        members.voters.push_back(member.identity);
+        state.progress[member.identity.id] = member.progress;
+        state.joining.erase(state.joining.find(name));
+        propose_membership(state, out, members, now);
+        return;
+    }
+}
+
+void become_leader(consensus_state& state, actions& out, time_point now)
+{
+    state.role = consensus_role::leader;
+    state.leader = state.options.self;
+    state.progress.clear();
+    for (const voter& it : other_voters(state)) {
+        state.progress[it.id] = {.next_index = last_index(state.log) + 1};
+    }
+    state.heartbeat_at = now + state.options.heartbeat_interval;
+    state.election_at = now + state.options.election_timeout;
+    out.push_back(leadership_changed{true, state.term});
+    append_own(state, out, {log_entry{.kind = entry_kind::no_op}});
+    advance_commit(state, out);
+    replicate_to_all(state, out, now);
+}
+
+void start_vote(consensus_state& state, actions& out, bool pre_vote, time_point now)
+{
+    state.role = pre_vote ? consensus_role::pre_candidate : consensus_role::candidate;
+    if (!pre_vote) {
+        ++state.term;
+        state.voted_for = state.options.self.name;
+        state.leader.reset();
+        out.push_back(save_vote{state.term, state.voted_for});
+    }
+    state.votes = {state.options.self.name};
+    reset_election_timer(state, now);
+    const std::uint64_t asked_term = pre_vote ? state.term + 1 : state.term;
+    for (const voter& it : other_voters(state)) {
+        send(out, it,
+             vote_request{asked_term, last_index(state.log), last_term(state.log), pre_vote});
+    }
+}
+
+void count_votes(consensus_state& state, actions& out, time_point now)
+{
+    if (state.votes.size() < quorum_size(state.members)) {
+        return;
+    }
+    if (state.role == consensus_role::pre_candidate) {
+        start_vote(state, out, false, now);
+        count_votes(state, out, now);
+    }
+    else if (state.role == consensus_role::candidate) {
+        become_leader(state, out, now);
+    }
+}
+
+bool can_campaign(const consensus_state& state)
+{
+    return contains(state.members, state.options.self);
+}
+
+/// When a quorum last answered, by this leader's clock.
+time_point quorum_confirmed_at(const consensus_state& state, time_point now)
+{
+    const membership& members = state.members;
+    std::vector<time_point> times;
+    for (const voter& it : members.voters) {
+        const auto found = state.progress.find(it.id);
+        const bool self = it.id == state.options.self;
+        times.push_back(
+            self ? now
+                 : (found == state.progress.end() ? time_point{} : found->second.confirmed_at));
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[quorum_size(members) - 1];
+}
+
+void on_leader_tick(consensus_state& state, actions& out, time_point now)
+{
+    // A leader that a quorum no longer answers steps down, so that its clients look elsewhere.
+    const bool had_time = now >= state.election_at;
+    if (had_time && now - quorum_confirmed_at(state, now) > state.options.election_timeout) {
+        become_follower(state, out, now);
+        state.leader.reset();
+        return;
+    }
+    if (now < state.heartbeat_at) {
+        return;
+    }
+    state.heartbeat_at = now + state.options.heartbeat_interval;
+    // Whatever was sent and not answered since the last heartbeat is sent again.
+    for (auto& [id, progress] : state.progress) {
+        progress.next_index = std::max(progress.match_index + 1, std::uint64_t{1});
+    }
+    for (auto& [name, member] : state.joining) {
+        member.progress.next_index = member.progress.match_index + 1;
+    }
+    replicate_to_all(state, out, now);
+    advance_joining(state, out, now);
+}
+
+/// Asks all seeds who is there, while this member belongs to no membership.
+void send_hello(consensus_state& state, actions& out, time_point now)
+{
+    state.hello_at = now + state.options.heartbeat_interval;
+    for (const voter& it : state.options.seeds) {
+        if (it.id.name != state.options.self.name) {
+            send(out, it, hello_request{state.hello_nonce, state.options.address});
+        }
+    }
+}
+
+void on_tick(consensus_state& state, actions& out, time_point now)
+{
+    if (state.role == consensus_role::leader) {
+        on_leader_tick(state, out, now);
+        return;
+    }
+    if (!can_campaign(state)) {
+        if (now >= state.hello_at) {
+            send_hello(state, out, now);
+        }
+        return;
+    }
+    if (now >= state.election_at) {
+        start_vote(state, out, true, now);
+        count_votes(state, out, now);
+    }
+}
+
+bool is_empty(const consensus_state& state)
+{
+    return state.options.may_form && last_index(state.log) == 0 && state.members.voters.empty();
+}
+
+bool is_coordinator(const consensus_state& state)
+{
+    const auto& seeds = state.options.seeds;
+    return std::all_of(seeds.begin(), seeds.end(),
+                       [&](const voter& it) { return state.options.self.name <= it.id.name; });
+}
+
+/// The member with the lowest name forms the first membership, once every other member answered
+/// this process that it is empty too. A single member with data prevents it for good.
+void try_formation(consensus_state& state, actions& out, time_point now)
+{
+    const bool all_empty = state.empty_members.size() + 1 == state.options.seeds.size();
+    if (!is_empty(state) || !is_coordinator(state) || !all_empty) {
+        return;
+    }
+    membership members{{voter{state.options.self, state.options.address}}};
+    for (const auto& [name, it] : state.empty_members) {
+        members.voters.push_back(it);
+    }
+    append_own(state, out, {log_entry{.kind = entry_kind::membership, .data = encode(members)}});
+    out.push_back(formation_done{});
+    start_vote(state, out, true, now);
+    count_votes(state, out, now);
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const hello_request& it,
+            time_point)
+{
+    reply(state, out, from, hello_reply{it.nonce, is_empty(state), state.options.address});
+    if (state.role != consensus_role::leader || contains(state.members, from)) {
+        return;
+    }
+    const auto found = state.joining.find(from.name);
+    if (found == state.joining.end() || found->second.identity.id != from) {
+        state.joining[from.name] = {voter{from, it.address}, {}};
+    }
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const hello_reply& it,
+            time_point now)
+{
+    if (it.nonce != state.hello_nonce) {
+        return;
+    }
+    if (!it.empty) {
+        state.empty_members.erase(from.name);
+        return;
+    }
+    state.empty_members[from.name] = voter{from, it.address};
+    try_formation(state, out, now);
+}
+
+bool heard_leader_recently(const consensus_state& state, time_point now)
+{
+    return now - state.leader_heard_at < state.options.election_timeout;
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const vote_request& it,
+            time_point now)
+{
+    // A member that heard a leader lately, or leads, helps nobody to disturb it.
+    const bool disturbs = heard_leader_recently(state, now) || state.role == consensus_role::leader;
+    const bool newer_log =
+        it.last_term > last_term(state.log) ||
+        (it.last_term == last_term(state.log) && it.last_index >= last_index(state.log));
+    if (it.pre_vote) {
+        const bool granted = !disturbs && newer_log && it.term > state.term;
+        reply(state, out, from, vote_reply{it.term, granted, true});
+        return;
+    }
+    if (disturbs || it.term < state.term) {
+        reply(state, out, from, vote_reply{std::max(it.term, state.term), false, false});
+        return;
+    }
+    if (it.term > state.term) {
+        adopt_term(state, out, it.term);
+        become_follower(state, out, now);
+    }
+    const bool free_vote = state.voted_for.empty() || state.voted_for == from.name;
+    const bool granted = free_vote && newer_log;
+    if (granted) {
+        state.voted_for = from.name;
+        out.push_back(save_vote{state.term, state.voted_for});
+        reset_election_timer(state, now);
+    }
+    reply(state, out, from, vote_reply{state.term, granted, false});
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const vote_reply& it,
+            time_point now)
+{
+    const bool awaited =
+        it.pre_vote ? state.role == consensus_role::pre_candidate && it.term == state.term + 1
+                    : state.role == consensus_role::candidate && it.term == state.term;
+    if (awaited && it.granted) {
+        state.votes.insert(from.name);
+        count_votes(state, out, now);
+    }
+    else if (!it.pre_vote && it.term > state.term && state.role == consensus_role::candidate) {
+        adopt_term(state, out, it.term);
+        become_follower(state, out, now);
+    }
+}
+
+/// Accepts the sender as leader of its term. False when the sender's term is over.
+bool follow_leader(consensus_state& state, actions& out, const replica_id& from, std::uint64_t term,
+                   time_point now)
+{
+    if (term < state.term) {
+        return false;
+    }
+    BALSAMDRIFT_INVARIANT(term > state.term || state.role != consensus_role::leader);
+    if (term > state.term) {
+        adopt_term(state, out, term);
+    }
+    become_follower(state, out, now);
+    state.leader = from;
+    state.leader_heard_at = now;
+    return true;
+}
+
+/// Takes over the entries that the log lacks; from the first conflict on the leader's replace ours.
+void merge_entries(consensus_state& state, actions& out, const std::vector<log_entry>& entries)
+{
+    for (std::size_t n = 0; n < entries.size(); ++n) {
+        const log_entry& it = entries[n];
+        if (it.index <= state.log.snapshot.index) {
+            continue;
+        }
+        const bool present = it.index <= last_index(state.log);
+        if (present && term_at(state.log, it.index) == it.term) {
+            continue;
+        }
+        BALSAMDRIFT_INVARIANT(it.index > state.commit_index);
+        if (present) {
+            truncate_from(state.log, it.index);
+            state.members = effective_membership(state.log);
+        }
+        const std::vector<log_entry> missing(entries.begin() + static_cast<std::ptrdiff_t>(n),
+                                             entries.end());
+        state.log.entries.insert(state.log.entries.end(), missing.begin(), missing.end());
+        note_memberships(state, missing);
+        out.push_back(save_entries{it.index, missing});
+        return;
+    }
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const append_request& it,
+            time_point now)
+{
+    if (!follow_leader(state, out, from, it.term, now)) {
+        reply(state, out, from, append_reply{state.term, false, 0, it.sent_at});
+        return;
+    }
+    const bool before_snapshot = it.prev_index < state.log.snapshot.index;
+    const bool matches = before_snapshot || (knows_term_at(state.log, it.prev_index) &&
+                                             term_at(state.log, it.prev_index) == it.prev_term);
+    if (!matches) {
+        const std::uint64_t hint = std::min(last_index(state.log), it.prev_index - 1);
+        const std::uint64_t retry_at = std::max(hint, state.commit_index);
+        reply(state, out, from, append_reply{state.term, false, retry_at, it.sent_at});
+        return;
+    }
+    merge_entries(state, out, it.entries);
+    const std::uint64_t match =
+        std::max(it.prev_index + it.entries.size(), before_snapshot ? state.log.snapshot.index : 0);
+    const std::uint64_t committed = std::min(it.commit_index, match);
+    if (committed > state.commit_index) {
+        state.commit_index = committed;
+        apply_committed(state, out);
+    }
+    reply(state, out, from, append_reply{state.term, true, match, it.sent_at});
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from,
+            const install_snapshot& it, time_point now)
+{
+    if (!follow_leader(state, out, from, it.term, now)) {
+        reply(state, out, from, append_reply{state.term, false, 0, it.sent_at});
+        return;
+    }
+    if (it.snapshot.index > state.commit_index) {
+        replace_prefix(state.log, it.snapshot);
+        state.members = effective_membership(state.log);
+        state.commit_index = it.snapshot.index;
+        state.applied_index = it.snapshot.index;
+        out.push_back(adopt_snapshot{it.snapshot});
+    }
+    reply(state, out, from, append_reply{state.term, true, it.snapshot.index, it.sent_at});
+}
+
+replication_progress* progress_of(consensus_state& state, const replica_id& id)
+{
+    const auto joining = state.joining.find(id.name);
+    if (joining != state.joining.end() && joining->second.identity.id == id) {
+        return &joining->second.progress;
+    }
+    const auto found = state.progress.find(id);
+    return found == state.progress.end() ? nullptr : &found->second;
+}
+
+void handle(consensus_state& state, actions& out, const replica_id& from, const append_reply& it,
+            time_point now)
+{
+    if (it.term > state.term) {
+        adopt_term(state, out, it.term);
+        become_follower(state, out, now);
+        return;
+    }
+    replication_progress* progress = progress_of(state, from);
+    if (state.role != consensus_role::leader || it.term != state.term || progress == nullptr) {
+        return;
+    }
+    progress->confirmed_at = std::max(progress->confirmed_at, from_nanoseconds(it.sent_at));
+    if (!it.accepted) {
+        progress->next_index = std::min(it.match_index, last_index(state.log)) + 1;
+        return;
+    }
+    progress->match_index = std::max(progress->match_index, it.match_index);
+    progress->next_index = std::max(progress->next_index, progress->match_index + 1);
+    advance_commit(state, out);
+    advance_joining(state, out, now);
+}
+
+void on_message(consensus_state& state, actions& out, const member_message& event, time_point now)
+{
+    const bool any = event.to.incarnation == 0;
+    const bool meant = event.to.name == state.options.self.name &&
+                       (any || event.to.incarnation == state.options.self.incarnation);
+    if (!meant) {
+        return;
+    }
+    std::visit([&](const auto& it) { handle(state, out, event.from, it, now); }, event.message);
+}
+
+void on_commands(consensus_state& state, actions& out, const commands_proposed& event,
+                 time_point now)
+{
+    if (state.role != consensus_role::leader || event.commands.empty()) {
+        return;
+    }
+    std::vector<log_entry> entries;
+    entries.reserve(event.commands.size());
+    for (const std::string& it : event.commands) {
+        entries.push_back({.kind = entry_kind::command, .data = it});
+    }
+    append_own(state, out, std::move(entries));
+    advance_commit(state, out);
+    replicate_to_all(state, out, now);
+}
+
+/// The membership as of an applied index.
+membership membership_at(const consensus_state& state, std::uint64_t index)
+{
+    replicated_log prefix = state.log;
+    if (index < last_index(prefix)) {
+        truncate_from(prefix, index + 1);
+    }
+    return effective_membership(prefix);
+}
+
+void on_snapshot_taken(consensus_state& state, actions& out, const snapshot_taken& event)
+{
+    if (event.index <= state.log.snapshot.index) {
+        return;
+    }
+    BALSAMDRIFT_INVARIANT(event.index <= state.applied_index);
+    log_snapshot snapshot{.index = event.index,
+                          .term = term_at(state.log, event.index),
+                          .members = membership_at(state, event.index),
+                          .state = event.state};
+    replace_prefix(state.log, snapshot);
+    out.push_back(save_snapshot{std::move(snapshot)});
+}
+
+}  // namespace
+
+consensus_state make_consensus(const consensus_options& options, stored_consensus stored,
+                               time_point now)
+{
+    BALSAMDRIFT_INVARIANT(options.self.incarnation != 0);
+    consensus_state state{.options = options,
+                          .term = stored.term,
+                          .voted_for = std::move(stored.voted_for),
+                          .log = std::move(stored.log)};
+    state.random.seed(options.random_seed);
+    state.commit_index = state.log.snapshot.index;
+    state.applied_index = state.log.snapshot.index;
+    state.members = effective_membership(state.log);
+    state.leader_heard_at = now;
+    state.hello_nonce = state.random();
+    reset_election_timer(state, now);
+    return state;
+}
+
+std::vector<consensus_action> step(consensus_state& state, const consensus_event& event,
+                                   time_point now)
+{
+    actions out;
+    std::visit(overloaded{
+                   [&](const clock_ticked&) { on_tick(state, out, now); },
+                   [&](const member_message& it) { on_message(state, out, it, now); },
+                   [&](const commands_proposed& it) { on_commands(state, out, it, now); },
+                   [&](const snapshot_taken& it) { on_snapshot_taken(state, out, it); },
+               },
+               event);
+    return out;
+}
+
+bool holds_leadership(const consensus_state& state, time_point now)
+{
+    if (state.role != consensus_role::leader || !committed_in_own_term(state)) {
+        return false;
+    }
+    const duration timeout = state.options.election_timeout;
+    const duration usable = timeout - timeout * state.options.clock_drift_permille / 1000;
+    return now - quorum_confirmed_at(state, now) < usable;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/presets/preset_policy.cpp
@@ -0,0 +1,19 @@
+#include "core/presets/preset_policy.h"
+
+namespace balsamdrift {
+
+preset_policy policy_of(preset value)
+{
+    switch (value) {
+        case preset::peak:
+            return {.customer_backlog = 64,
+                    .longest_wait = seconds(1),
+                    .default_max_age = seconds(30),
+                    .takes_writes = true};
+        case preset::maintenance: return {.takes_writes = false};
+        case preset::ordinary: break;
+    }
+    return {};
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/rates/token_bucket.cpp
@@ -0,0 +1,50 @@
+#include "core/rates/token_bucket.h"
+
+#include <algorithm>
+
+namespace balsamdrift {
+namespace {
+
+using float_seconds = std::chrono::duration<double>;
+
+void refill(token_bucket& bucket, time_point now)
+{
+    if (now <= bucket.filled_at) {
+        return;
+    }
+    const double elapsed = float_seconds(now - bucket.filled_at).count();
+    bucket.tokens = std::min(bucket.limits.burst, bucket.tokens + elapsed * bucket.limits.rate);
+    bucket.filled_at = now;
+}
+
+}  // namespace
+
+token_bucket make_spent_bucket(const bucket_limits& limits, time_point now)
+{
+    return {.limits = limits, .tokens = 0, .filled_at = now};
+}
+
+token_bucket make_full_bucket(const bucket_limits& limits, time_point now)
+{
+    return {.limits = limits, .tokens = limits.burst, .filled_at = now};
+}
+
+void change_limits(token_bucket& bucket, const bucket_limits& limits, time_point now)
+{
+    refill(bucket, now);
+    bucket.limits = limits;
+    bucket.tokens = std::min(bucket.tokens, limits.burst);
+}
+
+std::variant<token_taken, token_refused> take_token(token_bucket& bucket, time_point now)
+{
+    refill(bucket, now);
+    if (bucket.tokens >= 1) {
+        bucket.tokens -= 1;
+        return token_taken{};
+    }
+    const float_seconds wait((1 - bucket.tokens) / bucket.limits.rate);
+    return token_refused{std::chrono::ceil<duration>(wait)};
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/registry/registry.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "core/registry/change.h"
+#include "core/registry/records.h"
+
+namespace balsamdrift {
+
+/// How many answers to changes are kept for resends.
+inline constexpr std::size_t kept_change_results = 10'000;
+
+/// Everything the control log decides on: the state machine that control members and entries run
+/// over the same commands. Two registries with the same index are equal.
+struct registry {
+    /// Index of the last applied log entry.
+    std::uint64_t index = 0;
+    /// Counts accepted changes by operators; the configuration version that operators see.
+    std::uint64_t version = 0;
+    preset_record preset;
+    std::map<std::string, customer_record> customers;
+    /// Keys by the hash of their secret.
+    std::map<std::string, key_record> keys;
+    std::map<std::string, group_record> groups;
+    std::map<std::string, entry_record> entries;
+    std::map<std::string, owner_record> owners;
+    /// Key that signs session tokens; drawn when the registry is made.
+    std::string session_secret;
+    /// First answers to changes, by operator and change id, and the order they came in.
+    std::map<std::string, change_result> results;
+    std::deque<std::string> result_order;
+
+    bool operator==(const registry&) const = default;
+    MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
+                   results, result_order)
+};
+
+/// Applies one command at a log index. Deterministic: equal registries stay equal.
+change_result apply(registry& state, std::uint64_t index, const registry_command& command);
+
+/// Applies an encoded command; unknown commands change only the index.
+change_result apply_encoded(registry& state, std::uint64_t index, const std::string& data);
+
+/// Hash over the whole registry, to compare copies on different VMs.
+std::uint64_t state_hash(const registry& state);
+
+/// Name of a preset as operators write it.
+std::string to_string(preset value);
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/routing/route.cpp
@@ -0,0 +1,87 @@
+#include "core/routing/route.h"
+
+#include <algorithm>
+
+namespace balsamdrift {
+namespace {
+
+int running_on(const running_counts& running, const std::string& instance)
+{
+    const auto it = running.find(instance);
+    return it == running.end() ? 0 : it->second;
+}
+
+bool has_reachable_replica(const group_state& group)
+{
+    return std::any_of(group.instances.begin(), group.instances.end(), [&](const auto& it) {
+        return it.first != group.primary && it.second.reachable && it.second.in_recovery;
+    });
+}
+
+route route_to_primary(const group_state& group, const running_counts& running,
+                       const route_options& options)
+{
+    const bool free = running_on(running, group.primary) < options.slots;
+    if (group.primary_serves && free) {
+        return use_instance{group.primary};
+    }
+    return wait_for_instance{};
+}
+
+route route_write(const group_state& group, const running_counts& running,
+                  const route_options& options)
+{
+    const bool needs_replica = group.options.replicated_acknowledgement;
+    if (group.primary_serves && needs_replica && !has_reachable_replica(group)) {
+        return cannot_route{"no replica is reachable that could keep the write"};
+    }
+    return route_to_primary(group, running, options);
+}
+
+}  // namespace
+
+bool covers(const group_state& group, const std::string& instance, const route_request& request,
+            const route_options& options, time_point now)
+{
+    const instance_state& it = group.instances.at(instance);
+    if (it.applied < request.floor) {
+        return false;
+    }
+    const std::optional<duration> age = proven_age(group, instance, now);
+    const duration limit = request.max_age.value_or(options.default_max_age);
+    // While the primary is lost no age can be proved; the session's own view still can.
+    const bool unprovable = !group.primary_serves && !request.max_age;
+    return unprovable || (age && *age <= limit);
+}
+
+route choose_instance(const group_state& group, const running_counts& running,
+                      const route_request& request, const route_options& options, time_point now)
+{
+    if (!request.read) {
+        return route_write(group, running, options);
+    }
+    std::string best;
+    bool best_near = false;
+    for (const auto& [name, it] : group.instances) {
+        const bool replica = it.reachable && it.in_recovery && !it.leaving && name != group.primary;
+        if (!replica || running_on(running, name) >= options.slots ||
+            !covers(group, name, request, options, now)) {
+            continue;
+        }
+        const bool near = it.failure_domain == options.failure_domain;
+        const bool lighter = best.empty() || running_on(running, name) < running_on(running, best);
+        const bool as_light =
+            !best.empty() && running_on(running, name) == running_on(running, best);
+        if (lighter || (as_light && near && !best_near)) {
+            best = name;
+            best_near = near;
+        }
+    }
+    if (!best.empty()) {
+        return use_instance{best};
+    }
+    const bool primary_knows = request.floor.term <= group.primary_term;
+    return primary_knows ? route_to_primary(group, running, options) : wait_for_instance{};
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/sessions/session_token.cpp
@@ -0,0 +1,69 @@
+#include "core/sessions/session_token.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <QByteArray>
+#include <algorithm>
+
+#include "base/codec.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr std::size_t signature_bytes = 32;
+constexpr std::size_t longest_token = 8192;
+
+std::string sign(std::string_view payload, const std::string& secret)
+{
+    std::string signature(signature_bytes, '\0');
+    unsigned length = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char*>(payload.data()), payload.size(),
+         reinterpret_cast<unsigned char*>(signature.data()), &length);
+    return signature;
+}
+
+constexpr auto base64_options = QByteArray::Base64UrlEncoding | QByteArray::OmitTrailingEquals;
+
+}  // namespace
+
+std::string seal_token(const session_token& token, const std::string& secret)
+{
+    const std::string payload = encode(token);
+    const QByteArray bytes = QByteArray::fromStdString(sign(payload, secret) + payload);
+    return bytes.toBase64(base64_options).toStdString();
+}
+
+outcome<session_token> open_token(const std::string& text, const std::string& secret,
+                                  const std::string& customer)
+{
+    if (text.size() > longest_token) {
+        return failure{"the session token is too long"};
+    }
+    const auto decoded = QByteArray::fromBase64Encoding(
+        QByteArray::fromStdString(text), base64_options | QByteArray::AbortOnBase64DecodingErrors);
+    if (!decoded || decoded.decoded.size() <= static_cast<qsizetype>(signature_bytes)) {
+        return failure{"the session token is malformed"};
+    }
+    const std::string bytes = decoded.decoded.toStdString();
+    const std::string payload = bytes.substr(signature_bytes);
+    const std::string expected = sign(payload, secret);
+    if (CRYPTO_memcmp(bytes.data(), expected.data(), signature_bytes) != 0) {
+        return failure{"the session token's signature is wrong"};
+    }
+    auto token = decode<session_token>(payload);
+    if (succeeded(token) && value_of(token).customer != customer) {
+        return failure{"the session token belongs to another customer"};
+    }
+    return token;
+}
+
+void observe(session_token& token, const std::string& group, const log_position& position)
+{
+    log_position& seen = token.seen[group];
+    seen = std::max(seen, position);
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/answers.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+#include "base/time.h"
+#include "fleet/work_message.h"
+
+namespace balsamdrift {
+
+/// Builds the answer to a request that had no effect.
+work_answer not_run_answer(const std::string& code, const std::string& message,
+                           duration retry_after = duration{0});
+
+/// Builds the answer to a request that may have run.
+work_answer unknown_answer(const std::string& message);
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/entry_service.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <QThread>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "callers/http_server.h"
+#include "entry/announcement_relay.h"
+#include "entry/entry_view.h"
+#include "entry/lease_client.h"
+#include "entry/owner_host.h"
+#include "entry/statement_service.h"
+#include "entry/token_service.h"
+#include "entry/work_router.h"
+#include "fleet/fleet_node.h"
+
+namespace balsamdrift {
+
+/// Settings of an entry.
+struct entry_options {
+    std::string name;
+    std::string failure_domain;
+    http_server_options callers;
+    http_server_options platform;
+    int database_threads = 2;
+    std::vector<std::string> control;
+    duration lease_renew_interval = milliseconds(500);
+    std::string operator_token;
+};
+
+/// Addresses that an entry listens on.
+struct entry_addresses {
+    endpoint callers;
+    endpoint platform;
+};
+
+/// An entry: everything between callers and databases on one VM.
+class entry_service {
+public:
+    entry_service(entry_options options, fleet_node& fleet);
+    ~entry_service();
+    entry_service(const entry_service&) = delete;
+    entry_service& operator=(const entry_service&) = delete;
+
+    /// Starts to serve.
+    outcome<entry_addresses> start();
+
+    /// Takes a message of the fleet. Safe from any thread.
+    void receive(fleet_message message);
+
+    /// Repeats and ends what is due; called every few milliseconds.
+    void tick();
+
+    /// Reports unready and hands ownership back, while callers are still served.
+    void begin_drain();
+
+    /// Takes no new statements.
+    void refuse_new();
+
+    /// True when no caller waits and nothing is owned.
+    bool is_drained() const;
+
+    /// Gives the lease back and ends all threads.
+    void stop();
+
+private:
+    void on_view_changed();
+    void serve_caller(const http_request& request, const http_responder& responder);
+    void serve_platform(const http_request& request, const http_responder& responder);
+    bool is_ready() const;
+    http_response readiness() const;
+    http_response status();
+    void on_work(const fleet_message& message);
+
+    entry_options options_;
+    fleet_node& fleet_;
+    entry_view view_;
+    QThread lease_thread_;
+    std::unique_ptr<lease_client> lease_;
+    owner_host owners_;
+    work_router router_;
+    token_service tokens_;
+    announcement_relay relay_;
+    statement_service statements_;
+    http_server callers_;
+    http_server platform_;
+    std::atomic<bool> draining_ = false;
+    bool stopped_ = false;
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/group_owner.cpp
@@ -0,0 +1,470 @@
+#include "entry/group_owner.h"
+
+#include <QUuid>
+#include <algorithm>
+
+#include "base/event_log.h"
+#include "base/invariant.h"
+#include "base/metrics.h"
+#include "core/registry/item_id.h"
+#include "databases/system_queries.h"
+#include "entry/answers.h"
+#include "entry/claim_statements.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr milliseconds tick_interval(20);
+constexpr milliseconds longest_remaining(60'000);
+constexpr milliseconds maintenance_retry(5'000);
+
+bool is_transactional(work_kind kind)
+{
+    return kind == work_kind::transaction_statement || kind == work_kind::commit ||
+           kind == work_kind::rollback;
+}
+
+}  // namespace
+
+group_owner::group_owner(group_owner_options options, entry_view& view, propose_function propose)
+    : options_(std::move(options)),
+      view_(view),
+      propose_(std::move(propose)),
+      pool_(this, [this](const std::string& instance) { apply(probe_refused{instance}); })
+{
+    route_options_.failure_domain = options_.failure_domain;
+    group_ = make_group({}, monotonic_clock::now());
+    refresh_settings();
+    connect(&timer_, &QTimer::timeout, this, &group_owner::on_tick);
+    connect(&replication_timer_, &QTimer::timeout, this, [this] {
+        for (auto& [instance, it] : monitors_) {
+            probe(instance);
+        }
+    });
+    replication_timer_.setTimerType(Qt::PreciseTimer);
+    timer_.start(tick_interval);
+}
+
+group_owner::~group_owner() { end(); }
+
+void group_owner::refresh_settings()
+{
+    const auto state = view_.state();
+    const auto found = state->groups.find(options_.group);
+    if (found == state->groups.end()) {
+        return;
+    }
+    record_ = found->second;
+    policy_ = policy_of(state->preset.in_force);
+    preset_switching_ = state->preset.switching;
+    group_.options.instances = record_.instances;
+    group_.options.replicated_acknowledgement =
+        record_.ack == acknowledgement::replicated && record_.instances > 1;
+    route_options_.slots = record_.slots;
+    route_options_.default_max_age = policy_.default_max_age;
+    const int replicas = std::max(record_.instances - 1, 0);
+    const int spare = record_.connections - record_.instances - replicas * record_.slots;
+    pool_.set_limits({.replica = record_.slots, .primary = std::max(spare, record_.slots)},
+                     record_.primary);
+}
+
+void group_owner::on_view_changed()
+{
+    refresh_settings();
+    if (!record_.primary.empty()) {
+        apply(primary_in_force{record_.primary, record_.primary_term});
+    }
+    pump();
+}
+
+bool group_owner::still_owns() const
+{
+    return !ended_ &&
+           view_.owns(group_item(options_.group), options_.epoch, monotonic_clock::now());
+}
+
+int group_owner::parallel_slots(bool read) const
+{
+    const auto replicas =
+        std::count_if(group_.instances.begin(), group_.instances.end(),
+                      [](const auto& it) { return it.second.reachable && it.second.in_recovery; });
+    return record_.slots * (read ? std::max(static_cast<int>(replicas), 1) : 1);
+}
+
+std::optional<work_answer> group_owner::refuse_early(const work_request& request,
+                                                     time_point deadline, time_point now) const
+{
+    if (draining_ && !is_transactional(request.kind)) {
+        return not_run_answer("not_owner", "the owner hands the group over");
+    }
+    if (!still_owns()) {
+        return not_run_answer("not_owner", "this VM does not own the group");
+    }
+    if (is_transactional(request.kind)) {
+        const auto found = transactions_.find(request.transaction);
+        if (found == transactions_.end() || found->second.customer != request.customer) {
+            return not_run_answer("unknown_transaction",
+                                  "no such transaction is open; it ended or was rolled back");
+        }
+        if (found->second.work != 0) {
+            return not_run_answer("transaction_busy",
+                                  "a statement of the transaction is still running");
+        }
+        return std::nullopt;
+    }
+    if (request.kind != work_kind::read && !policy_.takes_writes) {
+        return not_run_answer("maintenance", "writes are not taken under the preset in force",
+                              maintenance_retry);
+    }
+    const bool read = request.kind == work_kind::read;
+    const duration wait =
+        estimate_wait(queue_, request.customer, parallel_slots(read), service_time_).wait;
+    const auto backlog = queue_.customers.find(request.customer);
+    const std::size_t waiting =
+        backlog == queue_.customers.end() ? 0 : backlog->second.waiting.size();
+    if (waiting >= policy_.customer_backlog) {
+        return not_run_answer("queue_full", "too many statements of the customer are waiting",
+                              wait);
+    }
+    if (wait > std::min(policy_.longest_wait, deadline - now)) {
+        return not_run_answer("overloaded", "the statement would not start in time", wait);
+    }
+    return std::nullopt;
+}
+
+void group_owner::submit(work_request request, answer_function on_answer)
+{
+    const std::uint64_t id = request.id;
+    if (const auto known = works_.find(id); known != works_.end()) {
+        // The sender repeats a request that is still under way.
+        known->second.on_answer = std::move(on_answer);
+        return;
+    }
+    const time_point now = monotonic_clock::now();
+    const milliseconds remaining =
+        std::clamp(milliseconds(request.remaining_ms), milliseconds(0), longest_remaining);
+    const time_point deadline = now + remaining;
+    if (auto refusal = refuse_early(request, deadline, now)) {
+        refusal->id = id;
+        on_answer(std::move(*refusal));
+        return;
+    }
+    note_request(retries_);
+    work& it = works_[id];
+    it.request = std::move(request);
+    it.on_answer = std::move(on_answer);
+    it.deadline = deadline;
+    if (is_transactional(it.request.kind)) {
+        start_in_transaction(id);
+        return;
+    }
+    push(queue_, {id, it.request.customer, deadline});
+    pump();
+}
+
+void group_owner::cancel(const std::string& customer, std::uint64_t request_id)
+{
+    const auto found = works_.find(request_id);
+    const bool waits = found != works_.end() && found->second.phase == work_phase::queued &&
+                       found->second.request.customer == customer;
+    if (waits && remove(queue_, customer, request_id)) {
+        works_.erase(found);
+    }
+}
+
+bool group_owner::can_start(const work& it, std::string& instance) const
+{
+    const bool read = it.request.kind == work_kind::read;
+    if (!it.request.idempotency_key.empty() && !claims_ready_) {
+        return false;
+    }
+    route_request wanted{.read = read, .floor = it.request.floor, .max_age = std::nullopt};
+    if (it.request.max_age_ms >= 0) {
+        wanted.max_age = milliseconds(it.request.max_age_ms);
+    }
+    const route chosen =
+        choose_instance(group_, running_, wanted, route_options_, monotonic_clock::now());
+    const auto* use = std::get_if<use_instance>(&chosen);
+    if (use == nullptr || !pool_.can_acquire(use->instance, read)) {
+        return false;
+    }
+    instance = use->instance;
+    return true;
+}
+
+void group_owner::pump()
+{
+    if (pumping_ || preset_switching_ || ended_) {
+        return;
+    }
+    pumping_ = true;
+    std::string instance;
+    const auto startable = [&](const queued_statement& it) {
+        return can_start(works_.at(it.id), instance);
+    };
+    while (queue_.size > 0) {
+        const auto next = pop(queue_, startable);
+        if (!next) {
+            break;
+        }
+        // The check ran last for another candidate if several customers wait.
+        if (!can_start(works_.at(next->id), instance)) {
+            push(queue_, *next);
+            break;
+        }
+        start(next->id, instance);
+    }
+    pumping_ = false;
+}
+
+void group_owner::start(std::uint64_t id, const std::string& instance)
+{
+    work& it = works_.at(id);
+    it.phase = work_phase::connecting;
+    it.instance = instance;
+    ++it.attempts;
+    ++running_[instance];
+    const bool read = it.request.kind == work_kind::read;
+    pool_.acquire(instance, read,
+                  [this, id, instance](db_session* session, const std::string& message) {
+                      run_on(id, instance, session, message);
+                  });
+}
+
+void group_owner::run_on(std::uint64_t id, const std::string& instance, db_session* session,
+                         const std::string& message)
+{
+    const auto found = works_.find(id);
+    const bool wanted = found != works_.end() && found->second.phase == work_phase::connecting;
+    if (session == nullptr) {
+        --running_[instance];
+        apply(probe_refused{instance});
+        if (wanted) {
+            requeue(id, message);
+        }
+        return;
+    }
+    if (!wanted || !still_owns()) {
+        --running_[instance];
+        pool_.release(session, true);
+        if (wanted) {
+            answer(id, not_run_answer("not_owner", "the ownership ended"));
+        }
+        pump();
+        return;
+    }
+    work& it = found->second;
+    it.phase = work_phase::running;
+    it.session = session;
+    it.started_at = monotonic_clock::now();
+    session->work = id;
+    const sql_statement statement{it.request.sql, it.request.params};
+    const sql_statement probe{probe_query, {}};
+    switch (it.request.kind) {
+        case work_kind::read: run_batch(id, {statement, probe}, &group_owner::on_read); return;
+        case work_kind::begin: run_batch(id, {{"BEGIN", {}}}, &group_owner::on_begin); return;
+        default: break;
+    }
+    if (it.request.idempotency_key.empty()) {
+        it.sent = true;
+        run_batch(id, {statement, probe}, &group_owner::on_write);
+        return;
+    }
+    const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+    const auto unix_seconds = std::chrono::duration_cast<seconds>(unix_time).count();
+    run_batch(id, {{"BEGIN", {}}, take_claim(it.request, unix_seconds), statement},
+              &group_owner::on_claim_taken);
+}
+
+void group_owner::start_in_transaction(std::uint64_t id)
+{
+    work& it = works_.at(id);
+    open_transaction& transaction = transactions_.at(it.request.transaction);
+    transaction.work = id;
+    transaction.used_at = monotonic_clock::now();
+    it.phase = work_phase::running;
+    it.started_at = transaction.used_at;
+    it.session = transaction.session;
+    it.instance = transaction.session->instance;
+    transaction.session->work = id;
+    const sql_statement probe{probe_query, {}};
+    switch (it.request.kind) {
+        case work_kind::commit:
+            it.sent = true;
+            run_batch(id, {{"COMMIT", {}}, probe}, &group_owner::on_transaction_end);
+            return;
+        case work_kind::rollback:
+            run_batch(id, {{"ROLLBACK", {}}, probe}, &group_owner::on_transaction_end);
+            return;
+        default:
+            run_batch(id, {{it.request.sql, it.request.params}},
+                      &group_owner::on_transaction_statement);
+    }
+}
+
+void group_owner::run_batch(std::uint64_t id, const std::vector<sql_statement>& batch,
+                            result_handler on_results)
+{
+    work& it = works_.at(id);
+    db_session* const session = it.session;
+    std::vector<sql_statement> statements = batch;
+    // The first batch after another use begins by forgetting what that use left behind.
+    const bool reset = session->needs_reset;
+    if (reset) {
+        statements.insert(statements.begin(), sql_statement{reset_query, {}});
+    }
+    session->needs_reset = false;
+    session->connection->run(statements, [this, id, session, reset, on_results](batch_outcome res) {
+        on_batch_done(id, session, reset, on_results, std::move(res));
+    });
+}
+
+void group_owner::on_batch_done(std::uint64_t id, db_session* session, bool was_reset,
+                                result_handler on_results, batch_outcome res)
+{
+    const auto found = works_.find(id);
+    const bool wanted = found != works_.end() && found->second.session == session;
+    if (std::holds_alternative<connection_lost>(res)) {
+        log_event(
+            event_id::connection_discarded,
+            {{"instance", session->instance}, {"reason", std::get<connection_lost>(res).message}});
+        apply(probe_refused{session->instance});
+        if (wanted) {
+            on_lost(id);
+        }
+        else {
+            --running_[session->instance];
+            pool_.discard(session);
+        }
+        pump();
+        return;
+    }
+    if (!wanted) {
+        release_orphan(session);
+        pump();
+        return;
+    }
+    auto& rows = std::get<results>(res);
+    const bool reset_failed = was_reset && !succeeded(rows.front());
+    if (was_reset) {
+        rows.erase(rows.begin());
+    }
+    if (reset_failed) {
+        on_lost(id);
+    }
+    else {
+        const duration took = monotonic_clock::now() - found->second.started_at;
+        constexpr int smoothing = 16;
+        service_time_ += (took - service_time_) / smoothing;
+        (this->*on_results)(id, rows);
+    }
+    pump();
+}
+
+void group_owner::release_orphan(db_session* session)
+{
+    --running_[session->instance];
+    const bool clean = session->connection->transaction() == transaction_status::idle;
+    session->needs_reset = true;
+    pool_.release(session, clean);
+}
+
+int group_owner::writes_in_flight() const
+{
+    const auto writing = std::count_if(works_.begin(), works_.end(), [](const auto& it) {
+        return it.second.phase != work_phase::queued && it.second.request.kind != work_kind::read;
+    });
+    return static_cast<int>(writing) + static_cast<int>(transactions_.size());
+}
+
+void group_owner::on_tick()
+{
+    const time_point now = monotonic_clock::now();
+    apply(group_ticked{writes_in_flight()});
+    for (const auto& [instance, it] : group_.instances) {
+        monitor& watch = monitors_[instance];
+        if (now >= watch.probe_at) {
+            probe(instance);
+        }
+    }
+    expire_works(now);
+    expire_transactions(now);
+    clean_claims(now);
+    confirm_replicated();
+    pump();
+}
+
+void group_owner::expire_works(time_point now)
+{
+    for (const queued_statement& it : take_expired(queue_, now)) {
+        answer(it.id, not_run_answer("deadline_exceeded", "the statement did not start in time",
+                                     service_time_));
+    }
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, it] : works_) {
+        if (it.phase != work_phase::queued && it.deadline <= now) {
+            late.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : late) {
+        work& it = works_.at(id);
+        if (is_transactional(it.request.kind)) {
+            // Its connection closes with it, so the transaction cannot go on unseen.
+            const std::string transaction = it.request.transaction;
+            const bool committing = it.request.kind == work_kind::commit;
+            answer(id, committing ? unknown_answer("the commit was not confirmed in time")
+                                  : not_run_answer("transaction_lost",
+                                                   "the statement took too long; the transaction "
+                                                   "was rolled back"));
+            end_transaction(transaction, false);
+            continue;
+        }
+        const bool unsure = it.sent || it.request.kind == work_kind::read;
+        answer(id, unsure ? unknown_answer("no answer came in time")
+                          : not_run_answer("deadline_exceeded", "the statement was given up"));
+    }
+}
+
+void group_owner::expire_transactions(time_point now)
+{
+    std::vector<std::string> idle;
+    for (const auto& [name, it] : transactions_) {
+        if (it.work == 0 && now - it.used_at >= options_.transaction_idle_limit) {
+            idle.push_back(name);
+        }
+    }
+    for (const std::string& name : idle) {
+        log_event(event_id::transaction_expired, {{"group", options_.group}});
+        end_transaction(name, false);
+    }
+}
+
+void group_owner::end()
+{
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    timer_.stop();
+    replication_timer_.stop();
+    (void)take_all(queue_);
+    while (!works_.empty()) {
+        const auto& [id, it] = *works_.begin();
+        const bool unsure = it.sent;
+        answer(id, unsure ? unknown_answer("the owner of the group changed")
+                          : not_run_answer("not_owner", "the owner of the group changed"));
+    }
+}
+
+group_status group_owner::status() const
+{
+    return {.group = options_.group,
+            .epoch = options_.epoch,
+            .state = group_,
+            .running = running_,
+            .queued = queue_.size,
+            .connections = pool_.size() + monitors_.size(),
+            .transactions = transactions_.size()};
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/lease_client.cpp
@@ -0,0 +1,185 @@
+#include "entry/lease_client.h"
+
+#include "base/codec.h"
+#include "base/event_log.h"
+#include "base/metrics.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr milliseconds tick_interval(20);
+
+/// Shortest pause between two requests that follow a member's hint, since hints may contradict.
+constexpr milliseconds hint_pause(40);
+
+}  // namespace
+
+lease_client::lease_client(lease_client_options options, entry_view& view, fleet_node& fleet)
+    : options_(std::move(options)), view_(view), fleet_(fleet)
+{
+    connect(&timer_, &QTimer::timeout, this, &lease_client::on_tick);
+}
+
+void lease_client::start(std::function<void()> on_change)
+{
+    on_change_ = std::move(on_change);
+    timer_.start(tick_interval);
+    ask();
+}
+
+void lease_client::receive(fleet_message message)
+{
+    QMetaObject::invokeMethod(
+        this,
+        [this, message = std::move(message)] {
+            auto decoded = decode_variant<lease_message>(message.body);
+            if (succeeded(decoded)) {
+                std::visit([&](const auto& it) { handle(it, message.sender); }, value_of(decoded));
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+void lease_client::send(const std::string& address, const lease_message& message)
+{
+    fleet_.send(address, fleet_channel::lease, encode_variant(message));
+}
+
+void lease_client::send_to_control(const lease_message& message)
+{
+    if (!leader_.empty()) {
+        send(leader_, message);
+        return;
+    }
+    for (const std::string& it : options_.control) {
+        send(it, message);
+    }
+}
+
+void lease_client::ask()
+{
+    if (given_back_) {
+        return;
+    }
+    asked_at_ = monotonic_clock::now();
+    renew_at_ = asked_at_ + options_.renew_interval;
+    const std::int64_t sent_at =
+        std::chrono::duration_cast<std::chrono::nanoseconds>(asked_at_.time_since_epoch()).count();
+    send_to_control(
+        lease_request{view_.self().name, options_.record, registry_.index, sent_at, draining_});
+}
+
+void lease_client::on_tick()
+{
+    const time_point now = monotonic_clock::now();
+    const bool unanswered = answered_at_ < asked_at_ && now - asked_at_ >= options_.answer_timeout;
+    if (unanswered) {
+        // The leader is gone, or this entry is cut off: ask every member.
+        leader_.clear();
+    }
+    if (unanswered || now >= renew_at_) {
+        ask();
+    }
+    const bool holds = view_.holds_lease(now);
+    if (held_ && !holds) {
+        log_event(event_id::lease_lost);
+        count_metric("balsamdrift_lease_losses_total");
+    }
+    else if (!held_ && holds) {
+        log_event(event_id::lease_acquired);
+    }
+    held_ = holds;
+}
+
+bool lease_client::adopt(const lease_grant& it)
+{
+    const std::uint64_t before = registry_.index;
+    if (!it.snapshot.empty()) {
+        auto decoded = decode<registry>(it.snapshot);
+        if (!succeeded(decoded)) {
+            return false;
+        }
+        // An older registry than the one in force is never taken over.
+        if (value_of(decoded).index > registry_.index) {
+            registry_ = std::move(value_of(decoded));
+        }
+    }
+    for (const log_entry& entry : it.entries) {
+        if (entry.index <= registry_.index) {
+            continue;
+        }
+        if (entry.index != registry_.index + 1) {
+            break;
+        }
+        if (entry.kind == entry_kind::command) {
+            (void)apply_encoded(registry_, entry.index, entry.data);
+        }
+        registry_.index = entry.index;
+    }
+    return registry_.index != before;
+}
+
+void lease_client::handle(const lease_grant& it, const std::string& sender)
+{
+    if (it.incarnation != view_.self().incarnation || given_back_) {
+        return;
+    }
+    const std::uint64_t version = registry_.version;
+    const bool changed = adopt(it);
+    if (changed) {
+        view_.publish(std::make_shared<const registry>(registry_));
+    }
+    if (it.lease_ms > 0) {
+        leader_ = sender;
+        const time_point sent_at{std::chrono::nanoseconds(it.sent_at)};
+        answered_at_ = std::max(answered_at_, sent_at);
+        // The lease counts from before the question was sent.
+        view_.set_lease_end(answered_at_ + milliseconds(it.lease_ms));
+    }
+    if (registry_.version != version) {
+        log_event(event_id::configuration_in_force, {{"version", std::to_string(registry_.version)},
+                                                     {"index", std::to_string(registry_.index)}});
+    }
+    if (changed) {
+        on_change_();
+        // The leader learns at once what is in force here.
+        if (it.lease_ms == 0) {
+            ask();
+        }
+    }
+}
+
+void lease_client::handle(const not_leader& it, const std::string&)
+{
+    if (!it.leader.empty() && it.leader != leader_) {
+        leader_ = it.leader;
+        renew_at_ = std::min(renew_at_, asked_at_ + hint_pause);
+    }
+}
+
+void lease_client::propose(const registry_command& command)
+{
+    std::string data = encode_variant(command);
+    QMetaObject::invokeMethod(
+        this, [this, data = std::move(data)] { send_to_control(owner_command{data}); },
+        Qt::QueuedConnection);
+}
+
+void lease_client::drain()
+{
+    draining_ = true;
+    ask();
+}
+
+void lease_client::give_back()
+{
+    if (given_back_) {
+        return;
+    }
+    given_back_ = true;
+    view_.set_lease_end(time_point{});
+    timer_.stop();
+    send_to_control(lease_return{view_.self()});
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/lease_client.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "entry/entry_view.h"
+#include "fleet/fleet_node.h"
+#include "fleet/lease_message.h"
+
+namespace balsamdrift {
+
+/// Settings of the lease client.
+struct lease_client_options {
+    entry_record record;
+    /// Fleet addresses of the control members.
+    std::vector<std::string> control;
+    duration renew_interval = milliseconds(500);
+    /// A request without an answer for this long is sent to every control member.
+    duration answer_timeout = milliseconds(200);
+};
+
+/// Keeps the entry's lease and configuration: asks the control leader in turn, applies what it
+/// commits, and never goes back to an older configuration.
+class lease_client : public QObject {
+public:
+    lease_client(lease_client_options options, entry_view& view, fleet_node& fleet);
+
+    /// Begins to ask for the lease. `on_change` is called after every change of the configuration.
+    void start(std::function<void()> on_change);
+
+    /// Takes a message for the lease channel. Safe from any thread.
+    void receive(fleet_message message);
+
+    /// Proposes a command that an owner may propose. Safe from any thread.
+    void propose(const registry_command& command);
+
+    /// Tells control that this entry stops: it keeps its lease and gets no new items.
+    void drain();
+
+    /// Gives the lease back; the entry no longer serves.
+    void give_back();
+
+private:
+    void on_tick();
+    void ask();
+    void handle(const lease_grant& it, const std::string& sender);
+    void handle(const not_leader& it, const std::string& sender);
+    template<class Other>
+    void handle(const Other&, const std::string&)
+    {
+    }
+    bool adopt(const lease_grant& it);
+    void send(const std::string& address, const lease_message& message);
+    void send_to_control(const lease_message& message);
+
+    lease_client_options options_;
+    entry_view& view_;
+    fleet_node& fleet_;
+    std::function<void()> on_change_;
+    registry registry_;
+    std::string leader_;
+    time_point asked_at_{};
+    time_point answered_at_{};
+    time_point renew_at_{};
+    bool held_ = false;
+    bool draining_ = false;
+    bool given_back_ = false;
+    QTimer timer_{this};
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/owner_host.cpp
@@ -0,0 +1,184 @@
+#include "entry/owner_host.h"
+
+#include "base/event_log.h"
+#include "core/registry/item_id.h"
+#include "entry/answers.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr milliseconds release_check_interval(20);
+
+}  // namespace
+
+owner_host::owner_host(owner_host_options options, entry_view& view,
+                       group_owner::propose_function propose)
+    : options_(std::move(options)), view_(view), propose_(std::move(propose))
+{
+    for (int n = 0; n < options_.threads; ++n) {
+        auto it = std::make_unique<host_thread>();
+        it->loop = new QObject;
+        it->loop->moveToThread(&it->thread);
+        it->thread.start();
+        host_thread* const raw = it.get();
+        on_thread(*raw, [this, raw] {
+            auto* timer = new QTimer(raw->loop);
+            QObject::connect(timer, &QTimer::timeout, raw->loop,
+                             [this, raw] { release_idle(*raw); });
+            timer->start(release_check_interval);
+        });
+        threads_.push_back(std::move(it));
+    }
+}
+
+owner_host::~owner_host() { stop(); }
+
+void owner_host::on_thread(host_thread& it, std::function<void()> fn)
+{
+    QMetaObject::invokeMethod(it.loop, std::move(fn), Qt::QueuedConnection);
+}
+
+owner_host::host_thread& owner_host::thread_of(const std::string& group)
+{
+    return *threads_[std::hash<std::string>{}(group) % threads_.size()];
+}
+
+void owner_host::on_view_changed()
+{
+    for (const auto& it : threads_) {
+        on_thread(*it, [this, raw = it.get()] { reconcile(*raw); });
+    }
+}
+
+void owner_host::reconcile(host_thread& it)
+{
+    const auto state = view_.state();
+    // Owners whose epoch is over end first, so that their answers leave before a new epoch begins.
+    for (auto owner = it.owners.begin(); owner != it.owners.end();) {
+        const auto record = state->owners.find(group_item(owner->first));
+        const bool ours = record != state->owners.end() && record->second.entry == view_.self() &&
+                          record->second.epoch == it.epochs[owner->first];
+        if (ours) {
+            if (record->second.recalled) {
+                owner->second->drain();
+            }
+            ++owner;
+            continue;
+        }
+        log_event(event_id::ownership_released, {{"group", owner->first}});
+        owner->second->end();
+        owner->second.release()->deleteLater();
+        it.epochs.erase(owner->first);
+        owner = it.owners.erase(owner);
+        --owned_;
+    }
+    for (const auto& [item, record] : state->owners) {
+        const std::string group(group_of_item(item));
+        if (group.empty() || record.entry != view_.self() || &thread_of(group) != &it ||
+            it.owners.contains(group)) {
+            continue;
+        }
+        log_event(event_id::ownership_gained,
+                  {{"group", group}, {"epoch", std::to_string(record.epoch)}});
+        it.epochs[group] = record.epoch;
+        it.owners[group] = std::make_unique<group_owner>(
+            group_owner_options{
+                .group = group, .epoch = record.epoch, .failure_domain = options_.failure_domain},
+            view_, propose_);
+        ++owned_;
+    }
+    for (const auto& [group, owner] : it.owners) {
+        owner->on_view_changed();
+    }
+}
+
+void owner_host::release_idle(host_thread& it)
+{
+    const auto state = view_.state();
+    for (const auto& [group, owner] : it.owners) {
+        const auto record = state->owners.find(group_item(group));
+        const bool leaving =
+            draining_ || (record != state->owners.end() && record->second.recalled);
+        if (!leaving) {
+            continue;
+        }
+        owner->drain();
+        if (owner->is_idle()) {
+            propose_(release_item{group_item(group), it.epochs[group]});
+        }
+    }
+}
+
+void owner_host::submit(work_request request, group_owner::answer_function on_answer)
+{
+    host_thread& it = thread_of(request.group);
+    on_thread(it, [&it, request = std::move(request), on_answer = std::move(on_answer)]() mutable {
+        const auto found = it.owners.find(request.group);
+        if (found == it.owners.end()) {
+            work_answer refusal = not_run_answer("not_owner", "this VM does not own the group");
+            refusal.id = request.id;
+            on_answer(std::move(refusal));
+            return;
+        }
+        found->second->submit(std::move(request), std::move(on_answer));
+    });
+}
+
+void owner_host::cancel(const work_cancel& cancelled)
+{
+    host_thread& it = thread_of(cancelled.group);
+    on_thread(it, [&it, cancelled] {
+        const auto found = it.owners.find(cancelled.group);
+        if (found != it.owners.end()) {
+            found->second->cancel(cancelled.customer, cancelled.id);
+        }
+    });
+}
+
+void owner_host::announce(const announcement& announced)
+{
+    host_thread& it = thread_of(announced.group);
+    on_thread(it, [&it, announced] {
+        const auto found = it.owners.find(announced.group);
+        if (found != it.owners.end()) {
+            found->second->announce(announced);
+        }
+    });
+}
+
+void owner_host::drain() { draining_ = true; }
+
+std::vector<group_status> owner_host::status()
+{
+    std::vector<group_status> rows;
+    for (const auto& it : threads_) {
+        QMetaObject::invokeMethod(
+            it->loop,
+            [&rows, raw = it.get()] {
+                for (const auto& [group, owner] : raw->owners) {
+                    rows.push_back(owner->status());
+                }
+            },
+            Qt::BlockingQueuedConnection);
+    }
+    return rows;
+}
+
+void owner_host::stop()
+{
+    for (const auto& it : threads_) {
+        QMetaObject::invokeMethod(
+            it->loop,
+            [raw = it.get()] {
+                raw->owners.clear();
+                qDeleteAll(raw->loop->children());
+            },
+            Qt::BlockingQueuedConnection);
+        it->thread.quit();
+        it->thread.wait();
+        delete it->loop;
+    }
+    threads_.clear();
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/work_router.cpp
@@ -0,0 +1,241 @@
+#include "entry/work_router.h"
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "base/codec.h"
+#include "core/registry/item_id.h"
+#include "entry/answers.h"
+
+namespace balsamdrift {
+namespace {
+
+/// Pause before a statement goes out again after the asked VM did not own its group.
+constexpr milliseconds owner_pause(20);
+
+/// A repeatable statement without an answer is sent again after this, in case a message was lost.
+constexpr milliseconds resend_interval(1000);
+
+std::uint64_t random_start()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device();
+}
+
+/// True when the owner recognizes a second copy or a second run does no harm.
+bool may_resend(const work_request& it)
+{
+    return it.kind == work_kind::read || it.kind == work_kind::idempotent_write ||
+           !it.idempotency_key.empty();
+}
+
+bool in_transaction(const work_request& it)
+{
+    return it.kind == work_kind::transaction_statement || it.kind == work_kind::commit ||
+           it.kind == work_kind::rollback;
+}
+
+/// The answer to a statement whose owner changed while it was away, when it cannot be sent again.
+work_answer owner_changed_answer(const work_request& it)
+{
+    if (it.kind == work_kind::write || it.kind == work_kind::commit) {
+        return unknown_answer("the owner of the group changed while the statement was under way");
+    }
+    if (in_transaction(it)) {
+        return not_run_answer("transaction_lost",
+                              "the owner of the group changed; the transaction was rolled back");
+    }
+    return not_run_answer("owner_changed", "the owner of the group changed", milliseconds(100));
+}
+
+/// The answer to a statement whose deadline has passed.
+work_answer late_answer(const work_request& it, bool sent)
+{
+    if (!sent) {
+        return not_run_answer("no_owner", "no VM owned the group in time", milliseconds(500));
+    }
+    return it.kind == work_kind::begin
+               ? not_run_answer("deadline_exceeded", "the transaction was not opened in time")
+               : unknown_answer("no answer came in time");
+}
+
+}  // namespace
+
+work_router::work_router(entry_view& view, fleet_node& fleet, owner_host& owners)
+    : view_(view), fleet_(fleet), owners_(owners), next_id_(random_start())
+{
+}
+
+owner_record work_router::owner_of(const std::string& group) const
+{
+    const auto state = view_.state();
+    const auto it = state->owners.find(group_item(group));
+    return it == state->owners.end() ? owner_record{} : it->second;
+}
+
+std::uint64_t work_router::submit(work_request request, time_point deadline,
+                                  answer_function on_answer)
+{
+    const std::uint64_t id = next_id_++;
+    request.id = id;
+    ++pending_count_;
+    pending_.with(id, [&](pending_shard& shard) {
+        shard.by_id[id] = {
+            .request = std::move(request), .on_answer = std::move(on_answer), .deadline = deadline};
+    });
+    send(id);
+    return id;
+}
+
+void work_router::send(std::uint64_t id)
+{
+    const time_point now = monotonic_clock::now();
+    std::optional<work_request> request;
+    owner_record owner;
+    pending_.with(id, [&](pending_shard& shard) {
+        const auto found = shard.by_id.find(id);
+        if (found == shard.by_id.end() || found->second.deadline <= now) {
+            return;
+        }
+        pending_work& it = found->second;
+        owner = owner_of(it.request.group);
+        it.retry_at = now + owner_pause;
+        if (owner.entry.name.empty()) {
+            return;
+        }
+        it.sent_to = owner;
+        it.sent_at = now;
+        it.retry_at = now + resend_interval;
+        it.request.remaining_ms = to_milliseconds(it.deadline - now).count();
+        request = it.request;
+    });
+    if (!request) {
+        return;
+    }
+    if (owner.entry == view_.self()) {
+        owners_.submit(std::move(*request),
+                       [this](work_answer answer) { handle(std::move(answer)); });
+        return;
+    }
+    const auto state = view_.state();
+    const auto entry = state->entries.find(owner.entry.name);
+    if (entry != state->entries.end()) {
+        fleet_.send(entry->second.address, fleet_channel::work,
+                    encode_variant(work_message(std::move(*request))));
+    }
+}
+
+void work_router::handle(const work_request& it, const std::string& sender)
+{
+    owners_.submit(it, [this, sender](work_answer answer) {
+        fleet_.send(sender, fleet_channel::work, encode_variant(work_message(std::move(answer))));
+    });
+}
+
+void work_router::handle(work_answer answer)
+{
+    const std::uint64_t id = answer.id;
+    if (answer.code != "not_owner") {
+        finish(id, std::move(answer));
+        return;
+    }
+    // Nothing ran there; the statement waits for the configuration to name the owner.
+    const bool lost = pending_.with(id, [&](pending_shard& shard) {
+        const auto found = shard.by_id.find(id);
+        if (found == shard.by_id.end()) {
+            return false;
+        }
+        found->second.sent_to = {};
+        found->second.retry_at = monotonic_clock::now() + owner_pause;
+        return in_transaction(found->second.request);
+    });
+    if (lost) {
+        work_answer reply = not_run_answer(
+            "transaction_lost", "the owner of the group changed; the transaction was rolled back");
+        finish(id, std::move(reply));
+    }
+}
+
+void work_router::finish(std::uint64_t id, work_answer answer)
+{
+    answer_function on_answer;
+    pending_.with(id, [&](pending_shard& shard) {
+        const auto found = shard.by_id.find(id);
+        if (found != shard.by_id.end()) {
+            on_answer = std::move(found->second.on_answer);
+            shard.by_id.erase(found);
+        }
+    });
+    if (on_answer) {
+        --pending_count_;
+        answer.id = id;
+        on_answer(std::move(answer));
+    }
+}
+
+void work_router::cancel(std::uint64_t id)
+{
+    std::optional<work_cancel> cancelled;
+    owner_record owner;
+    pending_.with(id, [&](pending_shard& shard) {
+        const auto found = shard.by_id.find(id);
+        if (found != shard.by_id.end()) {
+            cancelled =
+                work_cancel{id, found->second.request.group, found->second.request.customer};
+            owner = found->second.sent_to;
+        }
+    });
+    if (!cancelled || owner.entry.name.empty()) {
+        return;
+    }
+    if (owner.entry == view_.self()) {
+        owners_.cancel(*cancelled);
+        return;
+    }
+    const auto state = view_.state();
+    if (const auto it = state->entries.find(owner.entry.name); it != state->entries.end()) {
+        fleet_.send(it->second.address, fleet_channel::work,
+                    encode_variant(work_message(*cancelled)));
+    }
+}
+
+void work_router::tick()
+{
+    const time_point now = monotonic_clock::now();
+    std::vector<std::uint64_t> send_again;
+    std::vector<work_answer> ended;
+    pending_.for_each([&](pending_shard& shard) {
+        for (auto& [id, it] : shard.by_id) {
+            const bool sent = !it.sent_to.entry.name.empty();
+            work_answer reply;
+            if (it.deadline <= now) {
+                reply = late_answer(it.request, sent);
+            }
+            else if (sent && owner_of(it.request.group).epoch != it.sent_to.epoch &&
+                     !may_resend(it.request)) {
+                reply = owner_changed_answer(it.request);
+            }
+            else {
+                const bool moved = sent && owner_of(it.request.group).epoch != it.sent_to.epoch;
+                const bool due = now >= it.retry_at && (!sent || may_resend(it.request));
+                if (moved || due) {
+                    send_again.push_back(id);
+                }
+                continue;
+            }
+            reply.id = id;
+            ended.push_back(std::move(reply));
+        }
+    });
+    for (work_answer& it : ended) {
+        const std::uint64_t id = it.id;
+        finish(id, std::move(it));
+    }
+    for (const std::uint64_t id : send_again) {
+        send(id);
+    }
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/fleet/fleet_node.cpp
@@ -0,0 +1,184 @@
+#include "fleet/fleet_node.h"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <atomic>
+#include <map>
+#include <thread>
+
+#include "base/codec.h"
+#include "base/event_log.h"
+#include "base/sharded.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr std::size_t signature_bytes = 32;
+constexpr int send_queue_messages = 1024;
+constexpr int receive_queue_messages = 1024;
+constexpr nng_duration reconnect_min_ms = 20;
+constexpr nng_duration reconnect_max_ms = 200;
+constexpr nng_duration receive_timeout_ms = 200;
+constexpr std::size_t largest_message = std::size_t{64} * 1024 * 1024;
+
+std::string sign(std::string_view frame, const std::string& secret)
+{
+    std::string signature(signature_bytes, '\0');
+    unsigned length = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+         reinterpret_cast<const unsigned char*>(frame.data()), frame.size(),
+         reinterpret_cast<unsigned char*>(signature.data()), &length);
+    return signature;
+}
+
+bool is_signed(std::string_view bytes, const std::string& secret)
+{
+    if (bytes.size() < signature_bytes) {
+        return false;
+    }
+    const std::string expected = sign(bytes.substr(signature_bytes), secret);
+    return CRYPTO_memcmp(expected.data(), bytes.data(), signature_bytes) == 0;
+}
+
+/// Sockets to peers, one shard of them.
+struct peer_sockets {
+    std::map<std::string, nng_socket> by_address;
+};
+
+std::string url_of(const std::string& address) { return "tcp://" + address; }
+
+}  // namespace
+
+struct fleet_node::implementation {
+    fleet_options options;
+    nng_socket listener = NNG_SOCKET_INITIALIZER;
+    sharded<peer_sockets> peers;
+    std::thread receiving;
+    std::atomic<bool> stopping = false;
+    receiver on_message;
+
+    void receive_loop();
+    void deliver(std::string_view bytes);
+    bool open_peer(const std::string& address, nng_socket& socket) const;
+};
+
+void fleet_node::implementation::deliver(std::string_view bytes)
+{
+    if (!is_signed(bytes, options.secret)) {
+        return;
+    }
+    auto frame = decode<fleet_frame>(bytes.substr(signature_bytes));
+    if (!succeeded(frame)) {
+        return;
+    }
+    fleet_frame& it = value_of(frame);
+    observe_timeline_stamp(it.stamp);
+    on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
+}
+
+void fleet_node::implementation::receive_loop()
+{
+    while (!stopping) {
+        nng_msg* message = nullptr;
+        if (nng_recvmsg(listener, &message, 0) != 0) {
+            continue;
+        }
+        deliver({static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message)});
+        nng_msg_free(message);
+    }
+}
+
+bool fleet_node::implementation::open_peer(const std::string& address, nng_socket& socket) const
+{
+    if (nng_push0_open(&socket) != 0) {
+        return false;
+    }
+    nng_socket_set_int(socket, NNG_OPT_SENDBUF, send_queue_messages);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
+    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
+    if (nng_dial(socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
+        nng_close(socket);
+        return false;
+    }
+    return true;
+}
+
+fleet_node::fleet_node(fleet_options options) : impl_(std::make_unique<implementation>())
+{
+    impl_->options = std::move(options);
+}
+
+fleet_node::~fleet_node() { stop(); }
+
+outcome<endpoint> fleet_node::start(receiver on_message)
+{
+    impl_->on_message = std::move(on_message);
+    if (nng_pull0_open(&impl_->listener) != 0) {
+        return failure{"cannot open a fleet socket"};
+    }
+    nng_socket_set_ms(impl_->listener, NNG_OPT_RECVTIMEO, receive_timeout_ms);
+    nng_socket_set_int(impl_->listener, NNG_OPT_RECVBUF, receive_queue_messages);
+    nng_socket_set_size(impl_->listener, NNG_OPT_RECVMAXSZ, largest_message);
+    nng_listener listener = NNG_LISTENER_INITIALIZER;
+    const std::string url = url_of(to_string(impl_->options.listen));
+    if (const int ec = nng_listen(impl_->listener, url.c_str(), &listener, 0); ec != 0) {
+        return failure{"cannot listen for the fleet on " + to_string(impl_->options.listen) + ": " +
+                       nng_strerror(ec)};
+    }
+    nng_sockaddr address;
+    nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &address);
+    // The port is in network byte order.
+    const auto raw = address.s_in.sa_port;
+    impl_->options.listen.port = static_cast<std::uint16_t>((raw >> 8) | (raw << 8));
+    if (impl_->options.advertised.empty()) {
+        impl_->options.advertised = to_string(impl_->options.listen);
+    }
+    impl_->receiving = std::thread([this] { impl_->receive_loop(); });
+    return impl_->options.listen;
+}
+
+void fleet_node::stop()
+{
+    if (!impl_->receiving.joinable()) {
+        return;
+    }
+    impl_->stopping = true;
+    impl_->receiving.join();
+    nng_close(impl_->listener);
+    impl_->peers.for_each([](peer_sockets& it) {
+        for (const auto& [address, socket] : it.by_address) {
+            nng_close(socket);
+        }
+        it.by_address.clear();
+    });
+}
+
+void fleet_node::send(const std::string& address, fleet_channel channel, std::string body)
+{
+    const std::string frame = encode(fleet_frame{.channel = static_cast<std::uint8_t>(channel),
+                                                 .sender = impl_->options.advertised,
+                                                 .stamp = next_timeline_stamp(),
+                                                 .body = std::move(body)});
+    std::string bytes = sign(frame, impl_->options.secret) + frame;
+    impl_->peers.with(address, [&](peer_sockets& it) {
+        auto found = it.by_address.find(address);
+        if (found == it.by_address.end()) {
+            nng_socket socket = NNG_SOCKET_INITIALIZER;
+            if (!impl_->open_peer(address, socket)) {
+                return;
+            }
+            found = it.by_address.emplace(address, socket).first;
+        }
+        // Dropped when the queue is full; every protocol above repeats what matters.
+        (void)nng_send(found->second, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+    });
+}
+
+std::string fleet_node::address() const { return impl_->options.advertised; }
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/fleet/lease_message.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/consensus/log_entry.h"
+#include "core/registry/records.h"
+
+namespace balsamdrift {
+
+/// An entry asks for its lease and for the configuration after what it has.
+struct lease_request {
+    std::string entry;
+    entry_record record;
+    /// Registry index that the entry has in force.
+    std::uint64_t index = 0;
+    /// Sender's monotonic clock in nanoseconds; echoed by the grant.
+    std::int64_t sent_at = 0;
+    /// True once the entry stops: it gets no new items.
+    bool draining = false;
+    MSGPACK_DEFINE(entry, record, index, sent_at, draining)
+};
+
+/// The leader's answer, or a push of new configuration when `sent_at` is zero.
+struct lease_grant {
+    std::uint64_t incarnation = 0;
+    std::int64_t sent_at = 0;
+    /// The lease runs this long from when the request was sent; zero grants nothing.
+    std::int64_t lease_ms = 0;
+    /// Encoded registry, when the entries alone would leave a gap; otherwise empty.
+    std::string snapshot;
+    /// Committed log entries after the snapshot or after the entry's index.
+    std::vector<log_entry> entries;
+    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries)
+};
+
+/// The asked member does not lead.
+struct not_leader {
+    /// `address:port` of the leader, if the member knows it.
+    std::string leader;
+    MSGPACK_DEFINE(leader)
+};
+
+/// An owner proposes a command that only it may propose (record_primary, release_item).
+struct owner_command {
+    /// Encoded registry_command.
+    std::string command;
+    MSGPACK_DEFINE(command)
+};
+
+/// An entry stops for good: its lease ends now.
+struct lease_return {
+    replica_id entry;
+    MSGPACK_DEFINE(entry)
+};
+
+/// Any message between entries and control.
+using lease_message =
+    std::variant<lease_request, lease_grant, not_leader, owner_command, lease_return>;
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/rig/site/site.cpp
@@ -0,0 +1,409 @@
+#include "rig/site/site.h"
+
+#include <signal.h>
+
+#include <QCoreApplication>
+#include <QElapsedTimer>
+#include <QTcpServer>
+#include <QThread>
+#include <filesystem>
+#include <fstream>
+
+#include "base/codec.h"
+#include "fleet/fleet_node.h"
+
+namespace balsamdrift::rig {
+namespace {
+
+constexpr int start_limit_ms = 10'000;
+constexpr int control_limit_ms = 30'000;
+constexpr unsigned long poll_ms = 20;
+constexpr const char* failure_domains[] = {"brest-port", "rennes-nord", "lorient-ouest"};
+constexpr const char* replication_secret = "stand-in replication";
+
+std::string domain_of(int n) { return failure_domains[n % 3]; }
+
+std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+std::string ms_text(duration span) { return std::to_string(to_milliseconds(span).count()); }
+
+/// Reads `ready key=address …`.
+std::map<std::string, std::string> parse_ready(const QString& line)
+{
+    std::map<std::string, std::string> addresses;
+    for (const QString& word : line.trimmed().split(' ')) {
+        const auto equals = word.indexOf('=');
+        if (equals > 0) {
+            addresses[word.left(equals).toStdString()] = word.mid(equals + 1).toStdString();
+        }
+    }
+    return addresses;
+}
+
+}  // namespace
+
+std::uint16_t free_port()
+{
+    QTcpServer probe;
+    probe.listen(QHostAddress::LocalHost, 0);
+    return probe.serverPort();
+}
+
+struct site::implementation {
+    std::vector<std::string> control_names;
+    std::vector<std::string> entries;
+    std::map<std::string, std::vector<std::string>> instances;
+    std::map<std::string, std::string> fleet_address;
+    std::map<std::string, std::string> replication_address;
+    std::unique_ptr<fleet_node> orders;
+};
+
+site::site(site_options options)
+    : options_(std::move(options)), impl_(std::make_unique<implementation>())
+{
+    std::filesystem::create_directories(options_.folder);
+    for (int n = 1; n <= options_.control_members; ++n) {
+        impl_->control_names.push_back("control-" + std::to_string(n));
+    }
+    for (int n = 1; n <= options_.entries; ++n) {
+        impl_->entries.push_back("entry-" + std::to_string(n));
+    }
+    for (const std::string& group : options_.groups) {
+        for (int n = 1; n <= options_.instances; ++n) {
+            impl_->instances[group].push_back(group + "-" + std::to_string(n));
+        }
+    }
+}
+
+site::~site()
+{
+    for (auto& [name, it] : processes_) {
+        if (it.process && it.process->state() != QProcess::NotRunning) {
+            // A stopped process must be continued before it can end.
+            ::kill(static_cast<pid_t>(it.process->processId()), SIGCONT);
+            it.process->kill();
+            it.process->waitForFinished(start_limit_ms);
+        }
+    }
+    if (impl_->orders) {
+        impl_->orders->stop();
+    }
+}
+
+std::string site::path(const std::string& file) const { return options_.folder + "/" + file; }
+
+std::string site::data_folder(const std::string& control_member) const
+{
+    return path("data-" + control_member);
+}
+
+std::vector<std::string> site::entry_names() const { return impl_->entries; }
+
+std::vector<std::string> site::instance_names(const std::string& group) const
+{
+    return impl_->instances.at(group);
+}
+
+void site::write_settings()
+{
+    std::ofstream(path("fleet.secret")) << "a fleet secret for loopback sites\n";
+    std::ofstream(path("operator.token")) << "an operator token for loopback sites\n";
+    std::string control_list;
+    std::string entry_list;
+    for (const std::string& name : impl_->control_names) {
+        const std::string address = local(free_port());
+        impl_->fleet_address[name] = address;
+        control_list += "    - {name: " + name + ", address: \"" + address + "\"}\n";
+        entry_list += "    - \"" + address + "\"\n";
+    }
+    for (const std::string& name : impl_->control_names) {
+        std::ofstream(path(name + ".yaml"))
+            << "role: control\nname: " << name << "\nlog_file: " << path(name + ".log")
+            << "\ndata_folder: " << data_folder(name) << "\noperator_token_file: operator.token\n"
+            << "fleet:\n  listen: \"" << impl_->fleet_address[name]
+            << "\"\n  secret_file: fleet.secret\n"
+            << "operators:\n  listen: \"" << local(free_port()) << "\"\n"
+            << "control:\n  members:\n"
+            << control_list;
+        processes_[name] = {.name = name,
+                            .program = options_.binaries + "/balsamdrift",
+                            .arguments = {"--settings", path(name + ".yaml")}};
+        start_order_.push_back(name);
+    }
+    int n = 0;
+    for (const std::string& name : impl_->entries) {
+        std::ofstream(path(name + ".yaml"))
+            << "role: entry\nname: " << name << "\nlog_file: " << path(name + ".log")
+            << "\nfailure_domain: " << domain_of(n++) << "\noperator_token_file: operator.token\n"
+            << "fleet:\n  listen: \"" << local(free_port()) << "\"\n  secret_file: fleet.secret\n"
+            << "callers:\n  listen: \"" << local(free_port())
+            << "\"\n  threads: " << options_.caller_threads << "\n"
+            << "platform:\n  listen: \"" << local(free_port()) << "\"\n"
+            << "databases:\n  threads: " << options_.database_threads << "\n"
+            << "control:\n  members:\n"
+            << entry_list << "stop:\n  notice: " << ms_text(options_.drain_notice) << "ms\n";
+        processes_[name] = {.name = name,
+                            .program = options_.binaries + "/balsamdrift",
+                            .arguments = {"--settings", path(name + ".yaml")}};
+        start_order_.push_back(name);
+    }
+}
+
+void site::define_instances()
+{
+    std::string announce_to;
+    for (const std::string& name : impl_->entries) {
+        announce_to += (announce_to.empty() ? "" : ",") + address_of(name, "platform");
+    }
+    for (const auto& [group, names] : impl_->instances) {
+        std::map<std::string, std::string> replication;
+        for (const std::string& name : names) {
+            replication[name] = local(free_port());
+            impl_->replication_address[name] = replication[name];
+        }
+        int n = 0;
+        for (const std::string& name : names) {
+            std::string peers;
+            for (const auto& [other, address] : replication) {
+                if (other != name) {
+                    peers += (peers.empty() ? "" : ",") + address;
+                }
+            }
+            processes_[name] = {
+                .name = name,
+                .program = options_.binaries + "/standin",
+                .arguments = {"--group=" + group, "--name=" + name,
+                              "--failure_domain=" + domain_of(n), "--listen=" + local(free_port()),
+                              "--replication=" + replication[name], "--peers=" + peers,
+                              "--announce_to=" + announce_to, n == 0 ? "--primary" : "--noprimary",
+                              "--ship_delay_ms=" + ms_text(options_.ship_delay),
+                              "--apply_lag_ms=" + ms_text(options_.apply_lag),
+                              "--service_ms=" + ms_text(options_.service_time),
+                              "--slots=" + std::to_string(options_.slots),
+                              "--connections=" + std::to_string(options_.connections),
+                              "--connect_ms=" + ms_text(options_.connect_time),
+                              "--rejoin_ms=" + ms_text(options_.rejoin_delay),
+                              "--run_log=" + path(name + ".runs")}};
+            start_order_.push_back(name);
+            ++n;
+        }
+    }
+}
+
+outcome<std::monostate> site::launch(site_process& it)
+{
+    it.process = std::make_unique<QProcess>();
+    it.process->setStandardErrorFile(QString::fromStdString(path(it.name + ".err")));
+    QStringList arguments;
+    for (const std::string& argument : it.arguments) {
+        arguments.push_back(QString::fromStdString(argument));
+    }
+    it.process->start(QString::fromStdString(it.program), arguments);
+    QElapsedTimer clock;
+    clock.start();
+    while (clock.elapsed() < start_limit_ms) {
+        if (!it.process->canReadLine() && !it.process->waitForReadyRead(start_limit_ms)) {
+            break;
+        }
+        const QString line = QString::fromUtf8(it.process->readLine());
+        if (line.startsWith("ready ")) {
+            it.addresses = parse_ready(line);
+            return std::monostate{};
+        }
+    }
+    return failure{it.name + " did not become ready"};
+}
+
+outcome<std::monostate> site::start()
+{
+    write_settings();
+    for (const std::string& name : start_order_) {
+        if (auto res = launch(processes_.at(name)); !succeeded(res)) {
+            return res;
+        }
+    }
+    const std::size_t started = start_order_.size();
+    define_instances();
+    for (std::size_t n = started; n < start_order_.size(); ++n) {
+        if (auto res = launch(processes_.at(start_order_[n])); !succeeded(res)) {
+            return res;
+        }
+    }
+    impl_->orders = std::make_unique<fleet_node>(
+        fleet_options{.listen = {"127.0.0.1", 0}, .secret = replication_secret});
+    auto listening = impl_->orders->start([](const fleet_message&) {});
+    if (!succeeded(listening)) {
+        return failure_of(listening);
+    }
+    for (const std::string& group : options_.groups) {
+        const control_answer answer =
+            control({"group", "put", group, "--instances=" + std::to_string(options_.instances),
+                     "--connections=" + std::to_string(options_.connections),
+                     "--slots=" + std::to_string(options_.slots)});
+        if (answer.exit_code != 0) {
+            return failure{"group " + group + " was not accepted: " + answer.text};
+        }
+    }
+    return std::monostate{};
+}
+
+control_answer site::control(const std::vector<std::string>& words)
+{
+    std::string members;
+    for (const std::string& name : impl_->control_names) {
+        if (is_running(name)) {
+            members += (members.empty() ? "" : ",") + address_of(name, "operators");
+        }
+    }
+    QStringList arguments{QString::fromStdString("--control=" + members),
+                          QString::fromStdString("--token_file=" + path("operator.token")),
+                          "--output=json"};
+    for (const std::string& word : words) {
+        arguments.push_back(QString::fromStdString(word));
+    }
+    QProcess process;
+    process.start(QString::fromStdString(options_.binaries + "/balsamctl"), arguments);
+    process.waitForFinished(control_limit_ms);
+    control_answer answer;
+    answer.exit_code = process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1;
+    answer.text = process.readAllStandardOutput().toStdString();
+    answer.body = nlohmann::json::parse(answer.text, nullptr, false);
+    if (answer.text.empty()) {
+        answer.text = process.readAllStandardError().toStdString();
+    }
+    return answer;
+}
+
+outcome<std::string> site::make_customer(const std::string& name, double rate, double burst)
+{
+    const std::vector<std::vector<std::string>> commands{{"customer", "put", name,
+                                                          "--rate=" + std::to_string(rate),
+                                                          "--burst=" + std::to_string(burst)}};
+    for (const auto& words : commands) {
+        if (const control_answer answer = control(words); answer.exit_code != 0) {
+            return failure{answer.text};
+        }
+    }
+    for (const std::string& group : options_.groups) {
+        if (const auto answer = control({"group", "grant", group, name}); answer.exit_code != 0) {
+            return failure{answer.text};
+        }
+    }
+    const control_answer key = control({"key", "give", name + "-key", "--customer=" + name});
+    if (key.exit_code != 0 || !key.body.is_object()) {
+        return failure{key.text};
+    }
+    return key.body.value("key", "");
+}
+
+bool site::wait_until_ready(duration limit)
+{
+    QElapsedTimer clock;
+    clock.start();
+    while (clock.elapsed() < to_milliseconds(limit).count()) {
+        const control_answer status = control({"status"});
+        std::size_t ready = 0;
+        std::size_t serving = 0;
+        if (status.exit_code == 0 && status.body.is_object()) {
+            for (const auto& vm : status.body["vms"]) {
+                ready += vm.value("ready", false) ? 1 : 0;
+                for (const auto& group : vm["groups"]) {
+                    bool all_reachable =
+                        group["instances"].size() == static_cast<std::size_t>(options_.instances);
+                    for (const auto& instance : group["instances"]) {
+                        all_reachable = all_reachable && instance.value("reachable", false);
+                    }
+                    serving += group.value("primary_serves", false) && all_reachable ? 1 : 0;
+                }
+            }
+        }
+        if (ready == impl_->entries.size() && serving == options_.groups.size()) {
+            return true;
+        }
+        QThread::msleep(poll_ms * 5);
+    }
+    return false;
+}
+
+void site::signal(const std::string& name, int number)
+{
+    ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), number);
+}
+
+outcome<std::monostate> site::restart(const std::string& name)
+{
+    return launch(processes_.at(name));
+}
+
+bool site::is_running(const std::string& name) const
+{
+    const auto it = processes_.find(name);
+    if (it != processes_.end() && it->second.process) {
+        // Without an event loop a process that ended is noticed only here.
+        it->second.process->waitForFinished(0);
+    }
+    return it != processes_.end() && it->second.process &&
+           it->second.process->state() == QProcess::Running;
+}
+
+std::optional<int> site::wait_for_exit(const std::string& name, duration limit)
+{
+    QProcess& process = *processes_.at(name).process;
+    const int ms = static_cast<int>(to_milliseconds(limit).count());
+    if (process.state() != QProcess::NotRunning && !process.waitForFinished(ms)) {
+        return std::nullopt;
+    }
+    return process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1;
+}
+
+void site::order(const std::string& instance, const fault_order& order)
+{
+    impl_->orders->send(impl_->replication_address.at(instance), fleet_channel::work,
+                        encode_variant(replication_message(order)));
+}
+
+std::string site::primary_of(const std::string& group)
+{
+    const control_answer status = control({"status"});
+    for (const auto& vm : status.body["vms"]) {
+        for (const auto& it : vm["groups"]) {
+            if (it["group"] == group && it.value("primary_serves", false)) {
+                return it["primary"].get<std::string>();
+            }
+        }
+    }
+    return {};
+}
+
+bool site::stop()
+{
+    bool clean = true;
+    // Entries first, so that they can hand back what they own.
+    const auto stop_all = [&](const std::vector<std::string>& names) {
+        std::vector<std::string> running;
+        std::copy_if(names.begin(), names.end(), std::back_inserter(running),
+                     [&](const std::string& name) { return is_running(name); });
+        for (const std::string& name : running) {
+            signal(name, SIGTERM);
+        }
+        for (const std::string& name : running) {
+            const auto code = wait_for_exit(name, milliseconds(control_limit_ms));
+            clean = clean && code && *code == 0;
+        }
+    };
+    stop_all(impl_->entries);
+    stop_all(impl_->control_names);
+    for (const auto& [group, names] : impl_->instances) {
+        stop_all(names);
+    }
+    return clean;
+}
+
+std::string site::address_of(const std::string& name, const std::string& key) const
+{
+    const auto& addresses = processes_.at(name).addresses;
+    const auto it = addresses.find(key);
+    return it == addresses.end() ? std::string() : it->second;
+}
+
+}  // namespace balsamdrift::rig
--- /dev/null
+++ b/rig/standin/instance.cpp
@@ -0,0 +1,282 @@
+#include "rig/standin/instance.h"
+
+#include <QNetworkReply>
+#include <QNetworkRequest>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/codec.h"
+
+namespace balsamdrift::rig {
+namespace {
+
+constexpr std::uint64_t first_lsn = 0x1000000;
+constexpr std::uint64_t lsn_step = 0x10;
+constexpr milliseconds heartbeat_interval(20);
+constexpr milliseconds apply_interval(1);
+constexpr std::size_t most_shipped = 500;
+
+/// Replication between stand-ins has no secret worth keeping.
+constexpr const char* replication_secret = "stand-in replication";
+
+/// A single shot on the object's own thread.
+void after(duration delay, QObject* owner, std::function<void()> fn)
+{
+    if (delay <= duration{0}) {
+        fn();
+        return;
+    }
+    QTimer::singleShot(to_milliseconds(delay), Qt::PreciseTimer, owner, std::move(fn));
+}
+
+}  // namespace
+
+instance::instance(instance_options options)
+    : options_(std::move(options)),
+      primary_(options_.starts_as_primary),
+      received_lsn_(first_lsn),
+      applied_lsn_(first_lsn),
+      fleet_({.listen = options_.replication, .advertised = "", .secret = replication_secret})
+{
+    start_from_nothing();
+    if (!options_.run_log.empty()) {
+        run_log_.open(options_.run_log, std::ios::app);
+    }
+}
+
+instance::~instance() { fleet_.stop(); }
+
+outcome<endpoint> instance::start(const endpoint& sql_address)
+{
+    sql_address_ = to_string(sql_address);
+    auto started = fleet_.start([this](fleet_message message) {
+        QMetaObject::invokeMethod(
+            this, [this, message = std::move(message)] { on_message(message); },
+            Qt::QueuedConnection);
+    });
+    connect(&heartbeat_timer_, &QTimer::timeout, this, [this] {
+        if (primary_ && !cut_) {
+            for (const std::string& it : options_.replication_peers) {
+                ship(received_lsn_, it);
+            }
+        }
+    });
+    connect(&apply_timer_, &QTimer::timeout, this, &instance::apply_due);
+    connect(&announce_timer_, &QTimer::timeout, this, &instance::announce);
+    apply_timer_.setTimerType(Qt::PreciseTimer);
+    apply_timer_.start(apply_interval);
+    heartbeat_timer_.start(heartbeat_interval);
+    announce_timer_.start(to_milliseconds(options_.announce_interval));
+    announce();
+    return started;
+}
+
+void instance::start_from_nothing()
+{
+    ++generation_;
+    database_ = std::make_unique<sql_database>(options_.name + "-" + std::to_string(generation_));
+    history_.clear();
+    unapplied_.clear();
+    received_lsn_ = first_lsn;
+    applied_lsn_ = first_lsn;
+}
+
+void instance::commit(std::vector<replayed_statement> statements)
+{
+    received_lsn_ += lsn_step;
+    applied_lsn_ = received_lsn_;
+    history_.push_back({received_lsn_, std::move(statements)});
+    log_run(history_.back());
+    const std::uint64_t before = received_lsn_ - lsn_step;
+    after(options_.ship_delay, this, [this, before] {
+        if (!primary_ || cut_ || history_.empty()) {
+            return;
+        }
+        for (const std::string& it : options_.replication_peers) {
+            ship(before, it);
+        }
+    });
+}
+
+void instance::log_run(const committed_transaction& it)
+{
+    if (!run_log_.is_open()) {
+        return;
+    }
+    for (const replayed_statement& statement : it.statements) {
+        nlohmann::json row{{"instance", options_.name},
+                           {"term", term_},
+                           {"lsn", it.lsn},
+                           {"sql", statement.sql},
+                           {"params", nlohmann::json::array()}};
+        for (const auto& param : statement.params) {
+            row["params"].push_back(param ? nlohmann::json(*param) : nlohmann::json());
+        }
+        run_log_ << row.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    }
+    run_log_.flush();
+}
+
+void instance::ship(std::uint64_t after_lsn, const std::string& address)
+{
+    replication_stream stream{.primary = options_.name,
+                              .term = term_,
+                              .term_start = term_start_,
+                              .previous_lsn = after_lsn,
+                              .transactions = {}};
+    auto it = std::upper_bound(
+        history_.begin(), history_.end(), after_lsn,
+        [](std::uint64_t lsn, const committed_transaction& t) { return lsn < t.lsn; });
+    while (it != history_.end() && stream.transactions.size() < most_shipped) {
+        stream.transactions.push_back(*it++);
+    }
+    fleet_.send(address, fleet_channel::work, encode_variant(replication_message(stream)));
+}
+
+void instance::on_message(const fleet_message& message)
+{
+    auto decoded = decode_variant<replication_message>(message.body);
+    if (!succeeded(decoded)) {
+        return;
+    }
+    const bool is_order = std::holds_alternative<fault_order>(value_of(decoded));
+    if (cut_ && !is_order) {
+        return;
+    }
+    std::visit([&](const auto& it) { handle(it, message.sender); }, value_of(decoded));
+}
+
+void instance::handle(const replication_stream& it, const std::string& sender)
+{
+    if (it.term < term_ || it.primary == options_.name) {
+        return;
+    }
+    if (primary_ && it.term > term_) {
+        // A replaced primary follows its successor only after a while, as if a person had seen to
+        // it.
+        if (!rejoining_) {
+            rejoining_ = true;
+            after(options_.rejoin_delay, this, [this, it] { follow(it); });
+        }
+        return;
+    }
+    if (it.term > term_) {
+        follow(it);
+    }
+    if (it.previous_lsn > received_lsn_) {
+        fleet_.send(sender, fleet_channel::work,
+                    encode_variant(replication_message(replication_pull{received_lsn_})));
+        return;
+    }
+    const time_point visible_at = monotonic_clock::now() + options_.apply_lag;
+    for (const committed_transaction& transaction : it.transactions) {
+        if (transaction.lsn == received_lsn_ + lsn_step) {
+            received_lsn_ = transaction.lsn;
+            history_.push_back(transaction);
+            unapplied_.push_back({visible_at, transaction});
+        }
+    }
+}
+
+void instance::follow(const replication_stream& it)
+{
+    rejoining_ = false;
+    if (it.term <= term_) {
+        return;
+    }
+    const bool diverged = primary_ || received_lsn_ > it.term_start;
+    primary_ = false;
+    term_ = it.term;
+    term_start_ = it.term_start;
+    if (diverged) {
+        if (on_sessions_invalid) {
+            on_sessions_invalid();
+        }
+        start_from_nothing();
+    }
+}
+
+void instance::handle(const replication_pull& it, const std::string& sender)
+{
+    if (primary_) {
+        ship(it.after_lsn, sender);
+    }
+}
+
+void instance::handle(const fault_order& it, const std::string&)
+{
+    leaving_ = it.leaving;
+    if (it.service_ms >= 0) {
+        options_.service_time = milliseconds(it.service_ms);
+    }
+    cut_ = it.cut;
+    announce();
+}
+
+void instance::apply_due()
+{
+    const time_point now = monotonic_clock::now();
+    while (!unapplied_.empty() && unapplied_.front().visible_at <= now) {
+        database_->replay(unapplied_.front().transaction.statements);
+        applied_lsn_ = unapplied_.front().transaction.lsn;
+        unapplied_.pop_front();
+    }
+}
+
+void instance::promote()
+{
+    if (primary_) {
+        return;
+    }
+    for (unapplied& it : unapplied_) {
+        it.visible_at = time_point{};
+    }
+    apply_due();
+    primary_ = true;
+    ++term_;
+    term_start_ = received_lsn_;
+}
+
+void instance::occupy_slot(std::function<void()> done)
+{
+    if (busy_slots_ >= options_.slots) {
+        waiting_for_slot_.push_back(std::move(done));
+        return;
+    }
+    ++busy_slots_;
+    after(options_.service_time, this, [this, done = std::move(done)] {
+        done();
+        release_slot();
+    });
+}
+
+void instance::release_slot()
+{
+    --busy_slots_;
+    if (!waiting_for_slot_.empty()) {
+        auto next = std::move(waiting_for_slot_.front());
+        waiting_for_slot_.pop_front();
+        occupy_slot(std::move(next));
+    }
+}
+
+void instance::announce()
+{
+    if (cut_ || options_.announce_to.empty()) {
+        return;
+    }
+    const nlohmann::json body{{"group", options_.group},
+                              {"instance", options_.name},
+                              {"address", sql_address_},
+                              {"failure_domain", options_.failure_domain},
+                              {"leaving", leaving_}};
+    const std::string entry = options_.announce_to[next_entry_++ % options_.announce_to.size()];
+    QNetworkRequest request(QUrl(QString::fromStdString("http://" + entry + "/v1/announcements")));
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+    request.setTransferTimeout(
+        static_cast<int>(to_milliseconds(options_.announce_interval).count()));
+    QNetworkReply* reply = http_.post(request, QByteArray::fromStdString(body.dump()));
+    connect(reply, &QNetworkReply::finished, reply, &QObject::deleteLater);
+}
+
+}  // namespace balsamdrift::rig
