--- /dev/null
+++ b/rig/standin/pg_session.cpp
@@ -0,0 +1,468 @@
+#include "rig/standin/pg_session.h"
+
+#include <QPointer>
+#include <QTimer>
+#include <QtEndian>
+#include <algorithm>
+
+#include "databases/system_queries.h"
+
+namespace balsamdrift::rig {
+namespace {
+
+constexpr quint32 ssl_request_code = 80877103;
+constexpr quint32 gss_request_code = 80877104;
+constexpr int length_bytes = 4;
+constexpr unsigned type_text = 25;
+constexpr unsigned type_bool = 16;
+constexpr unsigned type_int8 = 20;
+constexpr milliseconds busy_retry(1);
+constexpr seconds busy_limit(2);
+
+void put32(QByteArray& out, quint32 value)
+{
+    const quint32 wire = qToBigEndian(value);
+    out.append(reinterpret_cast<const char*>(&wire), sizeof wire);
+}
+
+void put16(QByteArray& out, quint16 value)
+{
+    const quint16 wire = qToBigEndian(value);
+    out.append(reinterpret_cast<const char*>(&wire), sizeof wire);
+}
+
+void put_text(QByteArray& out, const std::string& text)
+{
+    out.append(text.data(), static_cast<qsizetype>(text.size()));
+    out.append('\0');
+}
+
+/// Reads the fields of a message body, front to back.
+class body_reader {
+public:
+    explicit body_reader(const QByteArray& body) : body_(body) {}
+
+    std::string text()
+    {
+        const auto end = body_.indexOf('\0', at_);
+        const std::string value = body_.mid(at_, end - at_).toStdString();
+        at_ = end < 0 ? body_.size() : end + 1;
+        return value;
+    }
+    quint16 u16()
+    {
+        const quint16 value =
+            at_ + 2 <= body_.size() ? qFromBigEndian<quint16>(body_.constData() + at_) : quint16{0};
+        at_ += 2;
+        return value;
+    }
+    qint32 i32()
+    {
+        const qint32 value =
+            at_ + 4 <= body_.size() ? qFromBigEndian<qint32>(body_.constData() + at_) : -1;
+        at_ += 4;
+        return value;
+    }
+    std::string bytes(qint32 n)
+    {
+        const std::string value = body_.mid(at_, n).toStdString();
+        at_ += n;
+        return value;
+    }
+
+private:
+    const QByteArray& body_;
+    qsizetype at_ = 0;
+};
+
+std::vector<std::optional<std::string>> read_bind(const QByteArray& body)
+{
+    body_reader in(body);
+    (void)in.text();
+    (void)in.text();
+    for (quint16 formats = in.u16(); formats > 0; --formats) {
+        (void)in.u16();
+    }
+    std::vector<std::optional<std::string>> params;
+    for (quint16 count = in.u16(); count > 0; --count) {
+        const qint32 n = in.i32();
+        if (n < 0) {
+            params.emplace_back();
+        }
+        else {
+            params.emplace_back(in.bytes(n));
+        }
+    }
+    return params;
+}
+
+/// The statement in upper case without a trailing semicolon, for the few that are not SQLite's.
+std::string normalized(const std::string& sql)
+{
+    std::string word;
+    for (const char c : sql) {
+        word.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(c))));
+    }
+    while (!word.empty() && (word.back() == ';' || word.back() == ' ')) {
+        word.pop_back();
+    }
+    return word;
+}
+
+engine_result tagged(const std::string& tag)
+{
+    engine_result res;
+    res.tag = tag;
+    return res;
+}
+
+engine_result sql_error(const std::string& sqlstate, const std::string& message)
+{
+    engine_result res;
+    res.sqlstate = sqlstate;
+    res.message = message;
+    return res;
+}
+
+}  // namespace
+
+pg_session::pg_session(QTcpSocket* socket, instance& owner, QObject* parent)
+    : QObject(parent), instance_(owner), socket_(socket)
+{
+    socket_->setParent(this);
+    socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    connect(socket_, &QTcpSocket::readyRead, this, &pg_session::read_available);
+    connect(socket_, &QTcpSocket::disconnected, this, &QObject::deleteLater);
+}
+
+pg_session::~pg_session() { reset_session(); }
+
+void pg_session::reset_session()
+{
+    // Closing rolls back whatever the client left open.
+    sqlite3_close_v2(session_);
+    session_ = nullptr;
+    changes_.clear();
+    transaction_ = 'I';
+}
+
+void pg_session::read_available()
+{
+    if (instance_.is_cut()) {
+        return;
+    }
+    input_.append(socket_->readAll());
+    while (started_ ? read_message() : read_startup()) {
+    }
+}
+
+bool pg_session::read_startup()
+{
+    if (input_.size() < length_bytes * 2) {
+        return false;
+    }
+    const auto length = qFromBigEndian<quint32>(input_.constData());
+    if (static_cast<quint32>(input_.size()) < length) {
+        return false;
+    }
+    const auto code = qFromBigEndian<quint32>(input_.constData() + length_bytes);
+    const QByteArray body = input_.mid(length_bytes * 2, length - length_bytes * 2);
+    input_.remove(0, length);
+    if (code == ssl_request_code || code == gss_request_code) {
+        socket_->write("N");
+        return true;
+    }
+    read_only_ = body.contains("default_transaction_read_only=on");
+    started_ = true;
+    QTimer::singleShot(to_milliseconds(instance_.options().connect_time), Qt::PreciseTimer, this,
+                       &pg_session::finish_connect);
+    return false;
+}
+
+void pg_session::finish_connect()
+{
+    const auto sessions = parent()->children().size();
+    if (sessions > instance_.options().connection_limit) {
+        send_error("53300", "sorry, too many clients already", true);
+        socket_->disconnectFromHost();
+        return;
+    }
+    QByteArray ok;
+    put32(ok, 0);
+    send('R', ok);
+    for (const auto& [name, value] :
+         std::vector<std::pair<std::string, std::string>>{{"server_version", "15.0"},
+                                                          {"client_encoding", "UTF8"},
+                                                          {"standard_conforming_strings", "on"}}) {
+        QByteArray status;
+        put_text(status, name);
+        put_text(status, value);
+        send('S', status);
+    }
+    QByteArray key;
+    put32(key, 1);
+    put32(key, 1);
+    send('K', key);
+    send_ready();
+    read_available();
+}
+
+bool pg_session::read_message()
+{
+    if (input_.size() < length_bytes + 1) {
+        return false;
+    }
+    const auto length = qFromBigEndian<quint32>(input_.constData() + 1);
+    if (static_cast<quint32>(input_.size()) < length + 1) {
+        return false;
+    }
+    const char type = input_.at(0);
+    const QByteArray body = input_.mid(1 + length_bytes, length - length_bytes);
+    input_.remove(0, length + 1);
+    handle_message(type, body);
+    return true;
+}
+
+void pg_session::handle_message(char type, QByteArray body)
+{
+    switch (type) {
+        case 'P': {
+            body_reader in(body);
+            (void)in.text();
+            building_.sql = in.text();
+            building_.empty = false;
+            return;
+        }
+        case 'B': building_.params = read_bind(body); return;
+        case 'S':
+            units_.push_back(std::move(building_));
+            building_ = {};
+            start_next();
+            return;
+        case 'Q':
+            units_.push_back(
+                {.sql = body_reader(body).text(), .params = {}, .simple = true, .empty = false});
+            start_next();
+            return;
+        case 'X': socket_->disconnectFromHost(); return;
+        default: return;
+    }
+}
+
+void pg_session::start_next()
+{
+    if (running_ || units_.empty()) {
+        return;
+    }
+    running_ = true;
+    busy_since_ = monotonic_clock::now();
+    const std::string& sql = units_.front().sql;
+    const bool free_of_charge =
+        units_.front().empty || sql == probe_query || sql == reset_query || sql == promote_query;
+    if (free_of_charge) {
+        run_unit();
+        return;
+    }
+    const QPointer<pg_session> self(this);
+    instance_.occupy_slot([self] {
+        if (self) {
+            self->run_unit();
+        }
+    });
+}
+
+void pg_session::run_unit()
+{
+    if (instance_.is_cut()) {
+        // A cut off instance may run what it has; its answers never arrive.
+        return;
+    }
+    const engine_result res = execute(units_.front());
+    if (res.busy && monotonic_clock::now() - busy_since_ < busy_limit) {
+        QTimer::singleShot(busy_retry, Qt::PreciseTimer, this, &pg_session::run_unit);
+        return;
+    }
+    complete(res);
+}
+
+void pg_session::complete(const engine_result& res)
+{
+    answer_unit(res);
+    units_.pop_front();
+    running_ = false;
+    start_next();
+}
+
+engine_result pg_session::system_answer(const std::string& sql)
+{
+    if (sql == promote_query) {
+        instance_.promote();
+        return {.columns = {{"pg_promote", type_bool}}, .rows = {{cell("t")}}, .tag = "SELECT 1"};
+    }
+    return {.columns = {{"in_recovery", type_bool},
+                        {"received", type_text},
+                        {"applied", type_text},
+                        {"term", type_int8}},
+            .rows = {{cell(instance_.is_primary() ? "f" : "t"),
+                      cell(format_lsn(instance_.received_lsn())),
+                      cell(format_lsn(instance_.applied_lsn())),
+                      cell(std::to_string(instance_.term()))}},
+            .tag = "SELECT 1"};
+}
+
+engine_result pg_session::execute_transaction_word(const std::string& word)
+{
+    if (word.starts_with("BEGIN") || word.starts_with("START TRANSACTION")) {
+        if (transaction_ != 'I') {
+            return tagged("BEGIN");
+        }
+        const bool writes = !read_only_ && instance_.is_primary();
+        engine_result res =
+            run_statement(session_, writes ? "BEGIN IMMEDIATE" : "BEGIN", {}, false);
+        if (res.sqlstate.empty()) {
+            transaction_ = 'T';
+            res.tag = "BEGIN";
+        }
+        return res;
+    }
+    const bool commits = word.starts_with("COMMIT") && transaction_ == 'T';
+    if (transaction_ == 'I') {
+        return tagged(word.starts_with("COMMIT") ? "COMMIT" : "ROLLBACK");
+    }
+    engine_result res = run_statement(session_, commits ? "COMMIT" : "ROLLBACK", {}, false);
+    if (res.busy) {
+        return res;
+    }
+    transaction_ = 'I';
+    if (commits && !changes_.empty()) {
+        instance_.commit(std::exchange(changes_, {}));
+    }
+    changes_.clear();
+    res.tag = commits ? "COMMIT" : "ROLLBACK";
+    return res;
+}
+
+engine_result pg_session::execute(const unit& it)
+{
+    if (it.empty) {
+        return {};
+    }
+    if (it.sql == probe_query || it.sql == promote_query) {
+        return system_answer(it.sql);
+    }
+    if (session_ == nullptr) {
+        session_ = instance_.database().open_session();
+    }
+    const std::string word = normalized(it.sql);
+    if (word == reset_query) {
+        return tagged("DISCARD ALL");
+    }
+    if (word.starts_with("BEGIN") || word.starts_with("START TRANSACTION") ||
+        word.starts_with("COMMIT") || word.starts_with("ROLLBACK")) {
+        return execute_transaction_word(word);
+    }
+    if (transaction_ == 'E') {
+        return sql_error("25P02", "current transaction is aborted, commands ignored until end of "
+                                  "transaction block");
+    }
+    const bool read_only = read_only_ || !instance_.is_primary();
+    engine_result res = run_statement(session_, it.sql, it.params, read_only);
+    if (!res.sqlstate.empty()) {
+        if (transaction_ == 'T' && !res.busy) {
+            transaction_ = 'E';
+        }
+        return res;
+    }
+    if (res.changed_data) {
+        changes_.push_back({it.sql, it.params});
+        if (transaction_ == 'I') {
+            instance_.commit(std::exchange(changes_, {}));
+        }
+    }
+    return res;
+}
+
+void pg_session::answer_unit(const engine_result& res)
+{
+    const unit& it = units_.front();
+    if (it.empty) {
+        send_ready();
+        return;
+    }
+    if (!res.sqlstate.empty()) {
+        send_error(res.sqlstate, res.message, false);
+        send_ready();
+        return;
+    }
+    if (!it.simple) {
+        send('1', {});
+        send('2', {});
+    }
+    if (res.columns.empty()) {
+        if (!it.simple) {
+            send('n', {});
+        }
+    }
+    else {
+        QByteArray description;
+        put16(description, static_cast<quint16>(res.columns.size()));
+        for (const column& c : res.columns) {
+            put_text(description, c.name);
+            put32(description, 0);
+            put16(description, 0);
+            put32(description, c.type);
+            put16(description, static_cast<quint16>(-1));
+            put32(description, static_cast<quint32>(-1));
+            put16(description, 0);
+        }
+        send('T', description);
+    }
+    for (const auto& row : res.rows) {
+        QByteArray data;
+        put16(data, static_cast<quint16>(row.size()));
+        for (const cell& value : row) {
+            put32(data, value ? static_cast<quint32>(value->size()) : static_cast<quint32>(-1));
+            if (value) {
+                data.append(value->data(), static_cast<qsizetype>(value->size()));
+            }
+        }
+        send('D', data);
+    }
+    QByteArray tag;
+    put_text(tag, res.tag);
+    send('C', tag);
+    send_ready();
+}
+
+void pg_session::send(char type, const QByteArray& body)
+{
+    QByteArray out;
+    out.append(type);
+    put32(out, static_cast<quint32>(body.size() + length_bytes));
+    out.append(body);
+    socket_->write(out);
+}
+
+void pg_session::send_error(const std::string& sqlstate, const std::string& message, bool fatal)
+{
+    QByteArray body;
+    for (const auto& [field, value] :
+         std::vector<std::pair<char, std::string>>{{'S', fatal ? "FATAL" : "ERROR"},
+                                                   {'V', fatal ? "FATAL" : "ERROR"},
+                                                   {'C', sqlstate},
+                                                   {'M', message}}) {
+        body.append(field);
+        put_text(body, value);
+    }
+    body.append('\0');
+    send('E', body);
+}
+
+void pg_session::send_ready()
+{
+    QByteArray body;
+    body.append(transaction_);
+    send('Z', body);
+}
+
+}  // namespace balsamdrift::rig
