Test the decisions and a site of processes under failure

Instances that refuse connections now get no new work at once. - No read of a session came from a replica: positions of replicas were known only every 100 ms. Replicas are probed every 10 ms while they lag. - An entry without lease held requests until their deadline; it now answers not_ready at once. - Listening needed the main thread's event loop; the first worker listens. - Readers were blocked in the stand-in by an open transaction, since the in-memory database of SQLite lets nobody read while somebody writes. Ruled out: time-outs of the tests, load of the machine (each failure repeated).

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -10,8 +10,10 @@
 
 constexpr std::size_t shortest_secret = 16;
 constexpr std::int64_t most_threads = 64;
-constexpr std::int64_t largest_body = std::int64_t{64} * 1024 * 1024;
-constexpr std::int64_t largest_header = std::int64_t{1024} * 1024;
+constexpr std::int64_t kibibyte = 1024;
+constexpr std::int64_t mebibyte = kibibyte * kibibyte;
+constexpr std::int64_t largest_body = 64 * mebibyte;
+constexpr std::int64_t largest_header = mebibyte;
 
 /// Reads a secret from a file; the settings themselves hold none.
 std::string read_secret(settings_reader& in, const std::string& key, const std::string& base,
@@ -63,9 +65,9 @@
     options.listen = in.address("listen");
     options.threads = static_cast<int>(in.number("threads", default_threads, 1, most_threads));
     options.body_limit =
-        static_cast<std::size_t>(in.number("body_limit_bytes", 1024 * 1024, 1024, largest_body));
-    options.header_limit =
-        static_cast<std::size_t>(in.number("header_limit_bytes", 16 * 1024, 1024, largest_header));
+        static_cast<std::size_t>(in.number("body_limit_bytes", mebibyte, kibibyte, largest_body));
+    options.header_limit = static_cast<std::size_t>(
+        in.number("header_limit_bytes", 16 * kibibyte, kibibyte, largest_header));
     options.request_timeout = in.span("request_timeout", options.request_timeout);
     options.idle_timeout = in.span("idle_timeout", options.idle_timeout);
     (void)in.finish();
@@ -93,7 +95,7 @@
     control.election_jitter = section.span("election_jitter", control.election_jitter);
     control.lease_duration = section.span("lease_duration", control.lease_duration);
     control.snapshot_log_bytes = static_cast<std::uint64_t>(
-        section.number("snapshot_log_bytes", 1024 * 1024, 4096, largest_body));
+        section.number("snapshot_log_bytes", mebibyte, 4 * kibibyte, largest_body));
     (void)section.finish();
     const auto count = control.members.size();
     if (count != 1 && count != 3 && count != 5) {
@@ -153,7 +155,7 @@
     }
     std::vector<std::string> lines = root.finish();
     for (const std::string& it : problems) {
-        lines.push_back(file + ": " + it);
+        lines.push_back(std::string(file).append(": ").append(it));
     }
     if (!lines.empty()) {
         return settings_problems{std::move(lines)};
--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -49,9 +49,9 @@
 
 }  // namespace
 
-settings_reader::settings_reader(YAML::Node node, std::string path,
+settings_reader::settings_reader(const YAML::Node& node, std::string path,
                                  std::shared_ptr<shared_report> report)
-    : node_(std::move(node)), path_(std::move(path)), report_(std::move(report))
+    : node_(node), path_(std::move(path)), report_(std::move(report))
 {
 }
 
--- a/base/settings_reader.h
+++ b/base/settings_reader.h
@@ -57,7 +57,8 @@
         std::vector<std::string> problems;
     };
 
-    settings_reader(YAML::Node node, std::string path, std::shared_ptr<shared_report> report);
+    settings_reader(const YAML::Node& node, std::string path,
+                    std::shared_ptr<shared_report> report);
     YAML::Node take(const std::string& key, bool required);
     void report_problem(const YAML::Node& node, const std::string& key,
                         const std::string& expected);
--- /dev/null
+++ b/base/tests/event_catalogue_test.cpp
@@ -0,0 +1,62 @@
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <map>
+#include <regex>
+#include <set>
+
+#include "base/codec.h"
+#include "base/event_log.h"
+
+using namespace balsamdrift;
+
+TEST_CASE("docs/EVENTS.md lists exactly the events of the code", "[events]")
+{
+    std::ifstream in(std::string(BALSAMDRIFT_SOURCE_DIR) + "/docs/EVENTS.md");
+    REQUIRE(in);
+    std::map<int, std::string> documented;
+    const std::regex row(R"(\| (\d+) \| `(\w+)` \|.*)");
+    std::string line;
+    while (std::getline(in, line)) {
+        std::smatch match;
+        if (std::regex_match(line, match, row)) {
+            documented[std::stoi(match[1])] = match[2];
+        }
+    }
+    std::map<int, std::string> known;
+    for (const event_description& it : event_catalogue()) {
+        known[static_cast<int>(it.id)] = it.name;
+    }
+    CHECK(documented == known);
+    CHECK(known.size() == event_catalogue().size());
+}
+
+TEST_CASE("the time line keeps events in order and forgets the oldest", "[events]")
+{
+    open_event_log({.process = "p", .file = "/dev/null", .kept_events = 3});
+    for (int n = 0; n < 5; ++n) {
+        log_event(event_id::lease_acquired, {{"n", std::to_string(n)}});
+    }
+    const auto events = timeline_since(0);
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].fields[0].value == "2");
+    CHECK(events[0].stamp < events[1].stamp);
+    CHECK(timeline_since(events[1].stamp).size() == 1);
+}
+
+TEST_CASE("a stamp that was received moves the local one past it", "[events]")
+{
+    const std::uint64_t far = next_timeline_stamp() + (std::uint64_t{1} << 40);
+    observe_timeline_stamp(far);
+    CHECK(next_timeline_stamp() > far);
+}
+
+TEST_CASE("malformed bytes are failures", "[codec]")
+{
+    using message = std::variant<std::string, int>;
+    CHECK_FALSE(succeeded(decode<std::string>("")));
+    CHECK_FALSE(succeeded(decode<std::vector<int>>("\xdd\xff\xff\xff\xff")));
+    CHECK_FALSE(succeeded(decode_variant<message>("\x92\x07\xa1x")));
+    auto back = decode_variant<message>(encode_variant(message("x")));
+    CHECK(std::get<std::string>(value_of(back)) == "x");
+}
--- a/callers/http_server.cpp
+++ b/callers/http_server.cpp
@@ -44,6 +44,8 @@
     std::size_t next_worker = 0;
 
     void start_worker();
+    void on_first_worker(const std::function<void()>& fn);
+    outcome<endpoint> listen();
     void hand_over(qintptr descriptor);
 };
 
@@ -70,6 +72,27 @@
     workers.push_back(std::move(it));
 }
 
+void http_server::implementation::on_first_worker(const std::function<void()>& fn)
+{
+    if (!workers.empty()) {
+        QMetaObject::invokeMethod(workers.front()->loop, fn, Qt::BlockingQueuedConnection);
+    }
+}
+
+outcome<endpoint> http_server::implementation::listen()
+{
+    listener =
+        std::make_unique<descriptor_server>([this](qintptr descriptor) { hand_over(descriptor); });
+    listener->setListenBacklogSize(accept_backlog);
+    const QHostAddress address(QString::fromStdString(options.listen.address));
+    if (!listener->listen(address, options.listen.port)) {
+        return failure{"cannot listen on " + to_string(options.listen) + ": " +
+                       listener->errorString().toStdString()};
+    }
+    options.listen.port = listener->serverPort();
+    return options.listen;
+}
+
 void http_server::implementation::hand_over(qintptr descriptor)
 {
     worker& it = *workers[next_worker++ % workers.size()];
@@ -93,32 +116,21 @@
     for (int n = 0; n < impl_->options.threads; ++n) {
         impl_->start_worker();
     }
-    impl_->listener = std::make_unique<descriptor_server>(
-        [this](qintptr descriptor) { impl_->hand_over(descriptor); });
-    impl_->listener->setListenBacklogSize(accept_backlog);
-    const endpoint& listen = impl_->options.listen;
-    if (!impl_->listener->listen(QHostAddress(QString::fromStdString(listen.address)),
-                                 listen.port)) {
-        return failure{"cannot listen on " + to_string(listen) + ": " +
-                       impl_->listener->errorString().toStdString()};
-    }
-    impl_->options.listen.port = impl_->listener->serverPort();
-    return impl_->options.listen;
+    // The first worker accepts and hands connections out to all of them.
+    outcome<endpoint> res = failure{};
+    impl_->on_first_worker([&] { res = impl_->listen(); });
+    return res;
 }
 
 void http_server::drain()
 {
     impl_->counters.draining = true;
-    if (impl_->listener) {
-        impl_->listener->close();
-    }
+    impl_->on_first_worker([&] { impl_->listener.reset(); });
 }
 
 void http_server::stop()
 {
-    if (impl_->listener) {
-        impl_->listener->close();
-    }
+    impl_->on_first_worker([&] { impl_->listener.reset(); });
     for (const auto& it : impl_->workers) {
         QObject* const loop = it->loop;
         QMetaObject::invokeMethod(
--- a/callers/statement_request.cpp
+++ b/callers/statement_request.cpp
@@ -222,6 +222,7 @@
     code_status{"instance_lost", 503},
     code_status{"owner_changed", 503},
     code_status{"no_owner", 503},
+    code_status{"not_ready", 503},
 };
 
 unsigned status_of(const std::string& code)
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -236,7 +236,7 @@
     }
 }
 
-void control_service::propose(registry_command command, proposal_handler on_done)
+void control_service::propose(const registry_command& command, proposal_handler on_done)
 {
     std::string data = encode_variant(command);
     QMetaObject::invokeMethod(
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -60,7 +60,7 @@
     void receive(fleet_message message);
 
     /// Proposes a command; answers once it is committed or known not to be. Safe from any thread.
-    void propose(registry_command command, proposal_handler on_done);
+    void propose(const registry_command& command, proposal_handler on_done);
 
     /// A consistent view for operators. Safe from any thread.
     control_status status() const;
--- /dev/null
+++ b/control/tests/log_storage_test.cpp
@@ -0,0 +1,178 @@
+#include "control/log_storage.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include <QTemporaryDir>
+#include <filesystem>
+#include <fstream>
+
+#include "control/synced_file.h"
+
+using namespace balsamdrift;
+
+namespace {
+
+/// A data folder that goes with the test.
+struct folder_fixture {
+    QTemporaryDir holder;
+    std::string folder = holder.path().toStdString() + "/data";
+
+    opened_storage open(log_storage& storage)
+    {
+        auto opened = log_storage::open(folder, storage);
+        REQUIRE(succeeded(opened));
+        return value_of(opened);
+    }
+    std::string log_path() const { return folder + "/log"; }
+    std::string log_bytes() const
+    {
+        auto content = read_file(log_path());
+        return value_of(content);
+    }
+    void set_log_bytes(const std::string& bytes) const
+    {
+        std::ofstream(log_path(), std::ios::binary) << bytes;
+    }
+};
+
+std::vector<log_entry> entries(std::uint64_t first, int count)
+{
+    std::vector<log_entry> made;
+    made.reserve(static_cast<std::size_t>(count));
+    for (int n = 0; n < count; ++n) {
+        made.push_back({.index = first + static_cast<std::uint64_t>(n),
+                        .term = 1,
+                        .kind = entry_kind::command,
+                        .data = "command " + std::to_string(first + n)});
+    }
+    return made;
+}
+
+}  // namespace
+
+TEST_CASE("what was written is there after a restart", "[storage]")
+{
+    folder_fixture it;
+    std::uint64_t incarnation = 0;
+    {
+        log_storage storage;
+        incarnation = it.open(storage).incarnation;
+        REQUIRE(succeeded(storage.write(save_vote{3, "b"})));
+        REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 5)})));
+        REQUIRE(succeeded(storage.write(save_entries{4, entries(4, 1)})));
+    }
+    log_storage storage;
+    const opened_storage opened = it.open(storage);
+    CHECK(opened.incarnation == incarnation);
+    CHECK(opened.stored.term == 3);
+    CHECK(opened.stored.voted_for == "b");
+    CHECK(opened.stored.log.entries == entries(1, 4));
+    CHECK(opened.may_form);
+}
+
+TEST_CASE("a record that was cut short anywhere is left out and the rest is kept", "[storage]")
+{
+    folder_fixture it;
+    {
+        log_storage storage;
+        it.open(storage);
+        REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 2)})));
+    }
+    const std::string whole = it.log_bytes();
+    std::string longer;
+    {
+        log_storage storage;
+        it.open(storage);
+        REQUIRE(succeeded(storage.write(save_entries{3, entries(3, 2)})));
+        longer = it.log_bytes();
+    }
+    for (std::size_t size = whole.size() + 1; size < longer.size(); ++size) {
+        it.set_log_bytes(longer.substr(0, size));
+        log_storage storage;
+        const opened_storage opened = it.open(storage);
+        CHECK(opened.stored.log.entries == entries(1, 2));
+        CHECK(opened.discarded_bytes == size - whole.size());
+        CHECK(opened.may_form);
+        CHECK(storage.log_bytes() == whole.size());
+    }
+}
+
+TEST_CASE("a damaged record makes the member begin a new incarnation and never form", "[storage]")
+{
+    folder_fixture it;
+    std::uint64_t incarnation = 0;
+    {
+        log_storage storage;
+        incarnation = it.open(storage).incarnation;
+        REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 3)})));
+    }
+    const std::string good = it.log_bytes();
+    for (std::size_t n = 16; n < good.size(); n += 7) {
+        std::string bad = good;
+        bad[n] = static_cast<char>(bad[n] ^ 0x20);
+        it.set_log_bytes(bad);
+        log_storage storage;
+        const opened_storage opened = it.open(storage);
+        CHECK(opened.incarnation != incarnation);
+        CHECK_FALSE(opened.may_form);
+        CHECK(opened.stored.log.entries.empty());
+        CHECK(std::filesystem::exists(it.folder + "/damaged/log"));
+    }
+}
+
+TEST_CASE("a snapshot replaces the log as a whole", "[storage]")
+{
+    folder_fixture it;
+    const log_snapshot snapshot{.index = 4, .term = 1, .members = {}, .state = "registry"};
+    {
+        log_storage storage;
+        it.open(storage);
+        REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 6)})));
+        REQUIRE(succeeded(storage.write_snapshot(snapshot, {2, "a"}, entries(5, 2))));
+        REQUIRE(succeeded(storage.write(save_entries{7, entries(7, 1)})));
+    }
+    log_storage storage;
+    const opened_storage opened = it.open(storage);
+    CHECK(opened.stored.log.snapshot == snapshot);
+    CHECK(opened.stored.log.entries == entries(5, 3));
+    CHECK(opened.stored.term == 2);
+}
+
+TEST_CASE("a crash while the log is replaced leaves the old one", "[storage]")
+{
+    folder_fixture it;
+    {
+        log_storage storage;
+        it.open(storage);
+        REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 6)})));
+    }
+    std::ofstream(it.log_path() + ".new") << "half a snapsh";
+    log_storage storage;
+    CHECK(it.open(storage).stored.log.entries == entries(1, 6));
+}
+
+TEST_CASE("a full disk is a failure and never a success", "[storage]")
+{
+    // This device refuses every write as a full disk does.
+    const int full = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
+    REQUIRE(full >= 0);
+    CHECK_FALSE(succeeded(write_all(full, "x")));
+    ::close(full);
+    CHECK_FALSE(succeeded(replace_file("/dev/full", "log", "x")));
+}
+
+TEST_CASE("a folder that is lost begins anew", "[storage]")
+{
+    folder_fixture it;
+    std::uint64_t incarnation = 0;
+    {
+        log_storage storage;
+        incarnation = it.open(storage).incarnation;
+    }
+    std::filesystem::remove_all(it.folder);
+    log_storage storage;
+    CHECK(it.open(storage).incarnation != incarnation);
+}
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -205,7 +205,9 @@
         membership_change_pending(state)) {
         return;
     }
-    for (auto& [name, member] : state.joining) {
+    for (const auto& entry : state.joining) {
+        const std::string name = entry.first;
+        const joining_member member = entry.second;
         if (member.progress.match_index < state.commit_index) {
             continue;
         }
@@ -217,7 +219,7 @@
         }
         members.voters.push_back(member.identity);
         state.progress[member.identity.id] = member.progress;
-        state.joining.erase(state.joining.find(name));
+        state.joining.erase(name);
         propose_membership(state, out, members, now);
         return;
     }
--- a/core/failover/group_state.cpp
+++ b/core/failover/group_state.cpp
@@ -121,6 +121,14 @@
     out.push_back(ask_to_record{replica, state.primary_term + 1});
 }
 
+/// True when the recorded primary still follows somebody: its promotion did not take effect yet, or
+/// an earlier owner recorded it and did not get to promote it.
+bool needs_promotion(const group_state& state, const instance_state* primary)
+{
+    return state.phase == failover_phase::promoting ||
+           (primary != nullptr && primary->reachable && primary->in_recovery);
+}
+
 void on_tick(group_state& state, actions& out, int writes_in_flight, time_point now)
 {
     for (auto it = state.instances.begin(); it != state.instances.end();) {
@@ -155,13 +163,7 @@
         state.primary_serves = false;
         try_planned_switch(state, out, *primary, writes_in_flight, now);
     }
-    else if (state.phase == failover_phase::promoting) {
-        enter_phase(state, failover_phase::promoting, state.primary, now);
-        out.push_back(ask_to_promote{state.primary});
-    }
-    else if (primary != nullptr && primary->reachable && primary->in_recovery) {
-        // The recorded primary follows somebody: an earlier owner recorded it and did not get to
-        // promote it.
+    else if (needs_promotion(state, primary)) {
         enter_phase(state, failover_phase::promoting, state.primary, now);
         out.push_back(ask_to_promote{state.primary});
     }
--- a/core/failover/group_state.h
+++ b/core/failover/group_state.h
@@ -44,6 +44,9 @@
     log_position applied;
 };
 
+/// True when new work may be sent to the instance as far as its connections go.
+inline bool accepts_work(const instance_state& it) { return it.reachable && !it.refused_since; }
+
 /// Where a failover stands.
 enum class failover_phase : std::uint8_t {
     /// The recorded primary serves, or none is known yet.
--- a/core/routing/route.cpp
+++ b/core/routing/route.cpp
@@ -14,15 +14,17 @@
 bool has_reachable_replica(const group_state& group)
 {
     return std::any_of(group.instances.begin(), group.instances.end(), [&](const auto& it) {
-        return it.first != group.primary && it.second.reachable && it.second.in_recovery;
+        return it.first != group.primary && accepts_work(it.second) && it.second.in_recovery;
     });
 }
 
 route route_to_primary(const group_state& group, const running_counts& running,
                        const route_options& options)
 {
+    const auto primary = group.instances.find(group.primary);
+    const bool usable = primary != group.instances.end() && accepts_work(primary->second);
     const bool free = running_on(running, group.primary) < options.slots;
-    if (group.primary_serves && free) {
+    if (group.primary_serves && usable && free) {
         return use_instance{group.primary};
     }
     return wait_for_instance{};
@@ -63,7 +65,8 @@
     std::string best;
     bool best_near = false;
     for (const auto& [name, it] : group.instances) {
-        const bool replica = it.reachable && it.in_recovery && !it.leaving && name != group.primary;
+        const bool replica =
+            accepts_work(it) && it.in_recovery && !it.leaving && name != group.primary;
         if (!replica || running_on(running, name) >= options.slots ||
             !covers(group, name, request, options, now)) {
             continue;
--- /dev/null
+++ b/core/tests/rates_test.cpp
@@ -0,0 +1,189 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+#include "core/queueing/fair_queue.h"
+#include "core/rates/retry_budget.h"
+#include "core/rates/token_bucket.h"
+
+using namespace balsamdrift;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+bool taken(token_bucket& bucket, time_point now)
+{
+    return std::holds_alternative<token_taken>(take_token(bucket, now));
+}
+
+}  // namespace
+
+// The naive version keeps the times of all admissions and checks every window of time.
+TEST_CASE("no window of time ever admits more than rate and burst", "[rates]")
+{
+    rc::prop("admissions within any window <= rate * window + burst", [] {
+        const double rate = *rc::gen::inRange(1, 50);
+        const double burst = *rc::gen::inRange(1, 20);
+        const auto gaps = *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 60));
+        token_bucket bucket = make_full_bucket({rate, burst}, start);
+        time_point now = start;
+        std::vector<time_point> admitted;
+        for (const int gap : gaps) {
+            now += milliseconds(gap);
+            if (taken(bucket, now)) {
+                admitted.push_back(now);
+            }
+        }
+        for (std::size_t first = 0; first < admitted.size(); ++first) {
+            for (std::size_t last = first; last < admitted.size(); ++last) {
+                const std::chrono::duration<double> window = admitted[last] - admitted[first];
+                const auto count = static_cast<double>(last - first + 1);
+                RC_ASSERT(count <= rate * window.count() + burst + 1e-6);
+            }
+        }
+    });
+}
+
+TEST_CASE("a refusal says when the next token is there", "[rates]")
+{
+    token_bucket bucket = make_spent_bucket({10, 5}, start);
+    const auto refused = std::get<token_refused>(take_token(bucket, start));
+    CHECK(refused.retry_after == milliseconds(100));
+    CHECK_FALSE(taken(bucket, start + refused.retry_after - milliseconds(1)));
+    CHECK(taken(bucket, start + refused.retry_after));
+}
+
+TEST_CASE("a customer within its rate is not refused", "[rates]")
+{
+    token_bucket bucket = make_spent_bucket({100, 1}, start);
+    for (int n = 1; n <= 1000; ++n) {
+        CHECK(taken(bucket, start + milliseconds(10) * n));
+    }
+}
+
+TEST_CASE("a new owner's bucket and a lost one's together stay within rate and burst", "[rates]")
+{
+    const bucket_limits limits{10, 20};
+    token_bucket lost = make_full_bucket(limits, start);
+    int admitted = 0;
+    for (int n = 0; n < 100; ++n) {
+        admitted += taken(lost, start) ? 1 : 0;
+    }
+    token_bucket next = make_spent_bucket(limits, start + seconds(2));
+    for (int n = 0; n < 100; ++n) {
+        admitted += taken(next, start + seconds(2)) ? 1 : 0;
+    }
+    CHECK(admitted <= 20 + 10 * 2);
+}
+
+TEST_CASE("retries are only a part of the requests", "[rates]")
+{
+    retry_budget budget;
+    int retries = 0;
+    for (int n = 0; n < 1000; ++n) {
+        note_request(budget);
+        retries += take_retry(budget) ? 1 : 0;
+        retries += take_retry(budget) ? 1 : 0;
+    }
+    CHECK(retries <= 1000 * budget.ratio + budget.limit);
+}
+
+TEST_CASE("one customer at twenty times the load of the others gets no more starts than they",
+          "[queueing]")
+{
+    fair_queue queue;
+    std::uint64_t id = 0;
+    std::map<std::string, int> started;
+    for (int round = 0; round < 500; ++round) {
+        for (int n = 0; n < 20; ++n) {
+            push(queue, {++id, "greedy", start});
+        }
+        push(queue, {++id, "small", start});
+        push(queue, {++id, "modest", start});
+        for (int n = 0; n < 3; ++n) {
+            ++started[pop(queue, [](const auto&) { return true; })->customer];
+        }
+    }
+    CHECK(started["small"] >= 499);
+    CHECK(started["modest"] >= 499);
+}
+
+// The naive version: with everybody backlogged, starts differ by at most one.
+TEST_CASE("backlogged customers start equally often", "[queueing]")
+{
+    rc::prop("starts differ by at most one", [] {
+        const auto customers = *rc::gen::inRange(1, 8);
+        const auto pops = *rc::gen::inRange(1, 100);
+        fair_queue queue;
+        std::uint64_t id = 0;
+        for (int n = 0; n < customers; ++n) {
+            const int backlog = 100 + *rc::gen::inRange(0, 50);
+            for (int k = 0; k < backlog; ++k) {
+                push(queue, {++id, "c" + std::to_string(n), start});
+            }
+        }
+        std::map<std::string, int> started;
+        for (int n = 0; n < customers; ++n) {
+            started["c" + std::to_string(n)] = 0;
+        }
+        for (int n = 0; n < pops; ++n) {
+            ++started[pop(queue, [](const auto&) { return true; })->customer];
+        }
+        int low = pops;
+        int high = 0;
+        for (const auto& [name, count] : started) {
+            low = std::min(low, count);
+            high = std::max(high, count);
+        }
+        RC_ASSERT(high - low <= 1);
+    });
+}
+
+TEST_CASE("the queue gives every statement back exactly once", "[queueing]")
+{
+    rc::prop("pushed == popped + expired + removed", [] {
+        const auto steps = *rc::gen::container<std::vector<int>>(100, rc::gen::inRange(0, 100));
+        fair_queue queue;
+        std::set<std::uint64_t> inside;
+        std::uint64_t id = 0;
+        for (const int it : steps) {
+            const std::string customer = "c" + std::to_string(it % 4);
+            if (it < 60) {
+                push(queue, {++id, customer, start + milliseconds(it)});
+                inside.insert(id);
+            }
+            else if (it < 80) {
+                const auto popped =
+                    pop(queue, [&](const queued_statement& q) { return q.id % 3 != 0; });
+                RC_ASSERT(!popped || inside.erase(popped->id) == 1);
+            }
+            else if (it < 90) {
+                for (const auto& late : take_expired(queue, start + milliseconds(it % 60))) {
+                    RC_ASSERT(inside.erase(late.id) == 1);
+                }
+            }
+            else if (!inside.empty()) {
+                const std::uint64_t victim = *inside.begin();
+                for (int n = 0; n < 4; ++n) {
+                    if (remove(queue, "c" + std::to_string(n), victim)) {
+                        RC_ASSERT(inside.erase(victim) == 1);
+                    }
+                }
+            }
+            RC_ASSERT(queue.size == inside.size());
+        }
+    });
+}
+
+TEST_CASE("the predicted wait counts what starts before", "[queueing]")
+{
+    fair_queue queue;
+    for (std::uint64_t n = 0; n < 100; ++n) {
+        push(queue, {n, "greedy", start});
+    }
+    CHECK(estimate_wait(queue, "greedy", 2, milliseconds(10)).wait == milliseconds(500));
+    CHECK(estimate_wait(queue, "small", 2, milliseconds(10)).wait <= milliseconds(10));
+}
--- /dev/null
+++ b/core/tests/registry_test.cpp
@@ -0,0 +1,182 @@
+#include "core/registry/registry.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "base/codec.h"
+#include "core/ownership/assignment.h"
+#include "core/registry/item_id.h"
+
+using namespace balsamdrift;
+
+namespace {
+
+operator_change change(const std::string& id, const change_body& body,
+                       std::optional<std::uint64_t> version = std::nullopt,
+                       const std::string& who = "op")
+{
+    return {.operator_name = who,
+            .change_id = id,
+            .expected_version = version,
+            .body = encode_variant(body)};
+}
+
+/// A registry and the index of its next command.
+struct applied_registry {
+    registry state;
+    std::uint64_t next = 1;
+
+    change_result operator()(const registry_command& command)
+    {
+        return apply(state, next++, command);
+    }
+};
+
+const std::string some_hash(64, 'a');
+
+}  // namespace
+
+TEST_CASE("operators that race with equal versions get exactly one winner", "[registry]")
+{
+    applied_registry run;
+    run(change("1", put_customer{"agence", 10, 10}));
+    const auto first = run(change("2", put_customer{"agence", 20, 20}, 1, "ann"));
+    const auto second = run(change("2", put_customer{"agence", 30, 30}, 1, "bob"));
+    CHECK(first.status == change_status::accepted);
+    CHECK(second.status == change_status::conflict);
+    CHECK(run.state.customers["agence"].rate == 20);
+}
+
+TEST_CASE("a resend gets the first answer and changes nothing", "[registry]")
+{
+    applied_registry run;
+    const auto first = run(change("1", put_customer{"agence", 10, 10}));
+    run(change("2", put_customer{"agence", 20, 20}));
+    const auto again = run(change("1", put_customer{"agence", 10, 10}));
+    CHECK(again == first);
+    CHECK(run.state.customers["agence"].rate == 20);
+    CHECK(run.state.version == 2);
+}
+
+TEST_CASE("a customer that is removed takes its keys and grants along", "[registry]")
+{
+    applied_registry run;
+    run(change("1", put_customer{"agence", 10, 10}));
+    run(change("2", put_group{"registry", 3, 20, 3}));
+    run(change("3", grant_group{"agence", "registry"}));
+    run(change("4", give_key{"agence", "k1", some_hash}));
+    run(change("5", remove_customer{"agence"}));
+    CHECK(run.state.keys.empty());
+    CHECK(run.state.groups["registry"].customers.empty());
+}
+
+TEST_CASE("an owner whose epoch is over can neither record a primary nor release", "[registry]")
+{
+    applied_registry run;
+    run(change("1", put_group{"registry", 3, 20, 3}));
+    run(register_entry{"e1", {1, "addr", "brest-port", ""}});
+    run(assign_items{{{group_item("registry"), {"e1", 1}}}});
+    CHECK(run(record_primary{"registry", 1, "r1", 1}).status == change_status::accepted);
+    run(expire_entry{{"e1", 1}});
+    CHECK(run(record_primary{"registry", 1, "r2", 2}).status == change_status::fenced);
+    CHECK(run(release_item{group_item("registry"), 1, {}}).status == change_status::fenced);
+    CHECK(run.state.groups["registry"].primary == "r1");
+}
+
+TEST_CASE("a primary's term never goes back", "[registry]")
+{
+    applied_registry run;
+    run(change("1", put_group{"registry", 3, 20, 3}));
+    run(register_entry{"e1", {1, "addr", "brest-port", ""}});
+    run(assign_items{{{group_item("registry"), {"e1", 1}}}});
+    run(record_primary{"registry", 1, "r2", 5});
+    CHECK(run(record_primary{"registry", 1, "r1", 4}).status == change_status::fenced);
+}
+
+TEST_CASE("one preset is in force; a second switch waits for the first", "[registry]")
+{
+    applied_registry run;
+    run(change("1", switch_preset{preset::peak}));
+    CHECK(run.state.preset.in_force == preset::ordinary);
+    CHECK(run.state.preset.switching);
+    CHECK(run(change("2", switch_preset{preset::maintenance})).status == change_status::conflict);
+    run(activate_preset{run.state.preset.switch_index});
+    CHECK(run.state.preset.in_force == preset::peak);
+    CHECK_FALSE(run.state.preset.switching);
+}
+
+TEST_CASE("a change that names nothing known or is out of range is refused", "[registry]")
+{
+    applied_registry run;
+    CHECK(run(change("1", put_customer{"a b", 1, 1})).status == change_status::invalid);
+    CHECK(run(change("2", put_customer{"agence", 0, 1})).status == change_status::invalid);
+    CHECK(run(change("3", grant_group{"agence", "registry"})).status == change_status::invalid);
+    CHECK(run(change("4", withdraw_key{"k1"})).status == change_status::invalid);
+    CHECK(run(change("5", put_group{"registry", 3, 4, 3})).status == change_status::invalid);
+    CHECK(run.state.version == 0);
+}
+
+TEST_CASE("a registry survives its encoding and copies stay equal", "[registry]")
+{
+    rc::prop("decode(encode(x)) == x and equal commands give equal hashes", [] {
+        const auto picks = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+        applied_registry one;
+        applied_registry two;
+        int id = 0;
+        for (const int pick : picks) {
+            const std::string name = "n" + std::to_string(pick % 5);
+            const std::vector<registry_command> commands{
+                change(std::to_string(pick % 40), put_customer{name, 1.0 + pick, 5}),
+                change(std::to_string(++id), put_group{name, 3, 20, 3}),
+                change(std::to_string(++id), grant_group{name, name}),
+                register_entry{name, {static_cast<std::uint64_t>(pick), "a", "b", "c"}},
+                assign_items{{{group_item(name), {name, static_cast<std::uint64_t>(pick)}}}},
+                expire_entry{{name, static_cast<std::uint64_t>(pick)}},
+            };
+            const registry_command& command = commands[static_cast<std::size_t>(pick) % 6];
+            RC_ASSERT(one(command) == two(command));
+        }
+        RC_ASSERT(state_hash(one.state) == state_hash(two.state));
+        const auto copy = decode<registry>(encode(one.state));
+        RC_ASSERT(std::get<registry>(copy) == one.state);
+    });
+}
+
+TEST_CASE("every item gets an owner and the load is even", "[ownership]")
+{
+    applied_registry run;
+    std::set<replica_id> live;
+    for (int n = 0; n < 4; ++n) {
+        const std::string name = "e" + std::to_string(n);
+        run(register_entry{name, {1, "a", "b", "c"}});
+        live.insert({name, 1});
+    }
+    for (int n = 0; n < 10; ++n) {
+        run(change(std::to_string(n), put_group{"g" + std::to_string(n), 3, 20, 3}));
+    }
+    run(plan_assignments(run.state, live, 4).assign);
+    std::map<std::string, int> groups;
+    for (const auto& [item, owner] : run.state.owners) {
+        REQUIRE_FALSE(owner.entry.name.empty());
+        groups[owner.entry.name] += group_of_item(item).empty() ? 0 : 1;
+    }
+    for (const auto& [name, count] : groups) {
+        CHECK(count >= 2);
+        CHECK(count <= 3);
+    }
+    CHECK(plan_assignments(run.state, live, 4).recall.items.empty());
+}
+
+TEST_CASE("an entry that joins is given items, a few at a time", "[ownership]")
+{
+    applied_registry run;
+    run(register_entry{"e1", {1, "a", "b", "c"}});
+    run(change("1", put_group{"g", 3, 20, 3}));
+    run(plan_assignments(run.state, {{"e1", 1}}, 4).assign);
+    run(register_entry{"e2", {1, "a", "b", "c"}});
+    const std::set<replica_id> live{{"e1", 1}, {"e2", 1}};
+    const auto plan = plan_assignments(run.state, live, 4);
+    CHECK(plan.recall.items.size() == 4);
+    run(plan.recall);
+    CHECK(plan_assignments(run.state, live, 4).recall.items.empty());
+}
--- a/entry/group_owner.h
+++ b/entry/group_owner.h
@@ -26,8 +26,10 @@
     std::uint64_t epoch = 0;
     std::string failure_domain;
     duration probe_interval = milliseconds(100);
-    /// Probes of replicas while writes wait to be replicated.
+    /// Probes while writes wait to be replicated.
     duration fast_probe_interval = milliseconds(4);
+    /// Probes while a replica has not applied everything that the primary has.
+    duration catch_up_probe_interval = milliseconds(10);
     /// A transaction without a statement for this long is rolled back.
     duration transaction_idle_limit = seconds(10);
     /// How long a claim keeps a write from running again.
@@ -149,6 +151,7 @@
     // Ends.
     void finish_write(std::uint64_t id, const query_result& probe, std::string result);
     void confirm_replicated();
+    void pace_probes();
     void answer(std::uint64_t id, work_answer reply);
     void answer_sql_error(std::uint64_t id, const query_result& res);
     void release_session(work& it);
--- a/entry/group_owner_instances.cpp
+++ b/entry/group_owner_instances.cpp
@@ -126,9 +126,29 @@
     }
     note_position(instance, std::get<results>(res).back(), sent_at);
     confirm_replicated();
+    pace_probes();
     pump();
 }
 
+void group_owner::pace_probes()
+{
+    if (!replicating_.empty()) {
+        replication_timer_.start(to_milliseconds(options_.fast_probe_interval));
+        return;
+    }
+    const bool behind =
+        std::any_of(group_.instances.begin(), group_.instances.end(), [&](const auto& it) {
+            return accepts_work(it.second) && group_.acknowledged &&
+                   it.second.applied < *group_.acknowledged;
+        });
+    if (behind) {
+        replication_timer_.start(to_milliseconds(options_.catch_up_probe_interval));
+    }
+    else {
+        replication_timer_.stop();
+    }
+}
+
 void group_owner::note_position(const std::string& instance, const query_result& probe,
                                 time_point sent_at)
 {
--- a/entry/group_owner_results.cpp
+++ b/entry/group_owner_results.cpp
@@ -365,9 +365,7 @@
     it.phase = work_phase::replicating;
     replicating_.insert(id);
     confirm_replicated();
-    if (!replicating_.empty() && !replication_timer_.isActive()) {
-        replication_timer_.start(to_milliseconds(options_.fast_probe_interval));
-    }
+    pace_probes();
 }
 
 void group_owner::confirm_replicated()
@@ -389,9 +387,6 @@
             answer(id, std::move(reply));
         }
     }
-    if (replicating_.empty()) {
-        replication_timer_.stop();
-    }
 }
 
 }  // namespace balsamdrift
--- a/entry/statement_service.cpp
+++ b/entry/statement_service.cpp
@@ -108,7 +108,7 @@
     const bool read = parsed.work.kind == work_kind::read;
     router_.submit(std::move(parsed.work), deadline,
                    [this, group, session = std::move(session), responder, started,
-                    read](work_answer answer) mutable {
+                    read](const work_answer& answer) mutable {
                        std::string token;
                        if (answer.outcome == run_outcome::ran) {
                            observe(session, group, answer.position);
--- a/entry/token_service.cpp
+++ b/entry/token_service.cpp
@@ -189,7 +189,9 @@
                             const std::function<void(const registry_command&)>& propose)
 {
     const auto state = view_.state();
-    for (const auto& [item, owner] : state->owners) {
+    for (const auto& row : state->owners) {
+        const std::string& item = row.first;
+        const owner_record& owner = row.second;
         const bool ours = owner.entry == view_.self() && group_of_item(item).empty();
         if (!ours || (!draining && !owner.recalled)) {
             continue;
--- a/entry/work_router.cpp
+++ b/entry/work_router.cpp
@@ -18,6 +18,9 @@
 /// A repeatable statement without an answer is sent again after this, in case a message was lost.
 constexpr milliseconds resend_interval(1000);
 
+/// When a caller of a VM without a lease may come back.
+constexpr milliseconds cut_off_retry(500);
+
 std::uint64_t random_start()
 {
     std::random_device device;
@@ -213,6 +216,10 @@
             if (it.deadline <= now) {
                 reply = late_answer(it.request, sent);
             }
+            else if (!sent && !view_.holds_lease(now)) {
+                reply = not_run_answer("not_ready", "the VM is cut off from control; use another",
+                                       cut_off_retry);
+            }
             else if (sent && owner_of(it.request.group).epoch != it.sent_to.epoch &&
                      !may_resend(it.request)) {
                 reply = owner_changed_answer(it.request);
--- a/rig/site/site.cpp
+++ b/rig/site/site.cpp
@@ -113,8 +113,9 @@
     for (const std::string& name : impl_->control_names) {
         const std::string address = local(free_port());
         impl_->fleet_address[name] = address;
-        control_list += "    - {name: " + name + ", address: \"" + address + "\"}\n";
-        entry_list += "    - \"" + address + "\"\n";
+        control_list.append("    - {name: ").append(name);
+        control_list.append(", address: \"").append(address).append("\"}\n");
+        entry_list.append("    - \"").append(address).append("\"\n");
     }
     for (const std::string& name : impl_->control_names) {
         std::ofstream(path(name + ".yaml"))
--- a/rig/standin/instance.cpp
+++ b/rig/standin/instance.cpp
@@ -74,7 +74,9 @@
 void instance::start_from_nothing()
 {
     ++generation_;
-    database_ = std::make_unique<sql_database>(options_.name + "-" + std::to_string(generation_));
+    const std::string name = options_.name + "-" + std::to_string(generation_);
+    committed_ = std::make_unique<sql_database>(name + "-committed");
+    working_ = std::make_unique<sql_database>(name + "-working");
     history_.clear();
     unapplied_.clear();
     received_lsn_ = first_lsn;
@@ -85,6 +87,7 @@
 {
     received_lsn_ += lsn_step;
     applied_lsn_ = received_lsn_;
+    committed_->replay(statements);
     history_.push_back({received_lsn_, std::move(statements)});
     log_run(history_.back());
     const std::uint64_t before = received_lsn_ - lsn_step;
@@ -217,7 +220,8 @@
 {
     const time_point now = monotonic_clock::now();
     while (!unapplied_.empty() && unapplied_.front().visible_at <= now) {
-        database_->replay(unapplied_.front().transaction.statements);
+        committed_->replay(unapplied_.front().transaction.statements);
+        working_->replay(unapplied_.front().transaction.statements);
         applied_lsn_ = unapplied_.front().transaction.lsn;
         unapplied_.pop_front();
     }
--- a/rig/standin/instance.h
+++ b/rig/standin/instance.h
@@ -25,7 +25,10 @@
     outcome<endpoint> start(const endpoint& sql_address);
 
     const instance_options& options() const { return options_; }
-    const sql_database& database() const { return *database_; }
+    /// What sessions outside of transactions read: committed data only.
+    const sql_database& committed() const { return *committed_; }
+    /// What sessions write to; one transaction at a time.
+    const sql_database& working() const { return *working_; }
     bool is_primary() const { return primary_; }
     bool is_cut() const { return cut_; }
     std::uint64_t term() const { return term_; }
@@ -64,7 +67,8 @@
     void release_slot();
 
     instance_options options_;
-    std::unique_ptr<sql_database> database_;
+    std::unique_ptr<sql_database> committed_;
+    std::unique_ptr<sql_database> working_;
     int generation_ = 0;
     bool primary_ = false;
     bool cut_ = false;
--- a/rig/standin/pg_session.cpp
+++ b/rig/standin/pg_session.cpp
@@ -12,10 +12,12 @@
 
 constexpr quint32 ssl_request_code = 80877103;
 constexpr quint32 gss_request_code = 80877104;
-constexpr int length_bytes = 4;
+constexpr qsizetype length_bytes = 4;
+constexpr qsizetype startup_header_bytes = 8;
 constexpr unsigned type_text = 25;
 constexpr unsigned type_bool = 16;
 constexpr unsigned type_int8 = 20;
+constexpr const char* read_only_sqlstate = "25006";
 constexpr milliseconds busy_retry(1);
 constexpr seconds busy_limit(2);
 
@@ -45,7 +47,7 @@
     std::string text()
     {
         const auto end = body_.indexOf('\0', at_);
-        const std::string value = body_.mid(at_, end - at_).toStdString();
+        std::string value = body_.mid(at_, end - at_).toStdString();
         at_ = end < 0 ? body_.size() : end + 1;
         return value;
     }
@@ -65,7 +67,7 @@
     }
     std::string bytes(qint32 n)
     {
-        const std::string value = body_.mid(at_, n).toStdString();
+        std::string value = body_.mid(at_, n).toStdString();
         at_ += n;
         return value;
     }
@@ -140,8 +142,10 @@
 void pg_session::reset_session()
 {
     // Closing rolls back whatever the client left open.
-    sqlite3_close_v2(session_);
-    session_ = nullptr;
+    sqlite3_close_v2(writing_);
+    sqlite3_close_v2(reading_);
+    writing_ = nullptr;
+    reading_ = nullptr;
     changes_.clear();
     transaction_ = 'I';
 }
@@ -158,7 +162,7 @@
 
 bool pg_session::read_startup()
 {
-    if (input_.size() < length_bytes * 2) {
+    if (input_.size() < startup_header_bytes) {
         return false;
     }
     const auto length = qFromBigEndian<quint32>(input_.constData());
@@ -166,7 +170,7 @@
         return false;
     }
     const auto code = qFromBigEndian<quint32>(input_.constData() + length_bytes);
-    const QByteArray body = input_.mid(length_bytes * 2, length - length_bytes * 2);
+    const QByteArray body = input_.mid(startup_header_bytes, length - startup_header_bytes);
     input_.remove(0, length);
     if (code == ssl_request_code || code == gss_request_code) {
         socket_->write("N");
@@ -223,7 +227,7 @@
     return true;
 }
 
-void pg_session::handle_message(char type, QByteArray body)
+void pg_session::handle_message(char type, const QByteArray& body)
 {
     switch (type) {
         case 'P': {
@@ -318,7 +322,7 @@
         }
         const bool writes = !read_only_ && instance_.is_primary();
         engine_result res =
-            run_statement(session_, writes ? "BEGIN IMMEDIATE" : "BEGIN", {}, false);
+            run_statement(writing_, writes ? "BEGIN IMMEDIATE" : "BEGIN", {}, false);
         if (res.sqlstate.empty()) {
             transaction_ = 'T';
             res.tag = "BEGIN";
@@ -329,7 +333,7 @@
     if (transaction_ == 'I') {
         return tagged(word.starts_with("COMMIT") ? "COMMIT" : "ROLLBACK");
     }
-    engine_result res = run_statement(session_, commits ? "COMMIT" : "ROLLBACK", {}, false);
+    engine_result res = run_statement(writing_, commits ? "COMMIT" : "ROLLBACK", {}, false);
     if (res.busy) {
         return res;
     }
@@ -350,8 +354,9 @@
     if (it.sql == probe_query || it.sql == promote_query) {
         return system_answer(it.sql);
     }
-    if (session_ == nullptr) {
-        session_ = instance_.database().open_session();
+    if (writing_ == nullptr) {
+        writing_ = instance_.working().open_session();
+        reading_ = instance_.committed().open_session();
     }
     const std::string word = normalized(it.sql);
     if (word == reset_query) {
@@ -366,7 +371,13 @@
                                   "transaction block");
     }
     const bool read_only = read_only_ || !instance_.is_primary();
-    engine_result res = run_statement(session_, it.sql, it.params, read_only);
+    if (transaction_ == 'I') {
+        engine_result res = run_statement(reading_, it.sql, it.params, true);
+        if (read_only || res.sqlstate != read_only_sqlstate) {
+            return res;
+        }
+    }
+    engine_result res = run_statement(writing_, it.sql, it.params, read_only);
     if (!res.sqlstate.empty()) {
         if (transaction_ == 'T' && !res.busy) {
             transaction_ = 'E';
--- a/rig/standin/pg_session.h
+++ b/rig/standin/pg_session.h
@@ -32,7 +32,7 @@
     void read_available();
     bool read_startup();
     bool read_message();
-    void handle_message(char type, QByteArray body);
+    void handle_message(char type, const QByteArray& body);
     void finish_connect();
     void start_next();
     void run_unit();
@@ -51,7 +51,9 @@
     QByteArray input_;
     bool started_ = false;
     bool read_only_ = false;
-    sqlite3* session_ = nullptr;
+    /// Handles on the committed and the working data, opened at their first use.
+    sqlite3* reading_ = nullptr;
+    sqlite3* writing_ = nullptr;
     unit building_;
     std::deque<unit> units_;
     bool running_ = false;
