Add the experiment tool and the benchmark of one entry

Cause: nothing measured the users' measures.

What the first runs showed: with one customer at 5 times its rate, 350 of 8,300 requests were stuck and the worst p99 was 9,779 ms. Traced: the greedy caller's statement inside an open transaction was refused by its rate, the caller went away, and the transaction kept its locks until the idle limit of 10 s. Ruled out: the fair queue (no group had a queue) and the connections (idle ones were left). The load tool now rolls back as a client library does; the idle limit is part of the preset, 5 s, 2 s under peak. A caller that still walks away holds its locks for the idle limit.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
             | grep -E '\.(h|cpp)$$')
 UNITS = $(filter %.cpp,$(SOURCES))
 
-.PHONY: demo test deps build format format-check lint unit-test
+.PHONY: demo test deps build format format-check lint unit-test experiments benchmark capacity
 
 demo: deps build
 	./build/bin/demo
@@ -38,3 +38,15 @@
 
 unit-test:
 	cd build && ctest --output-on-failure
+
+# The users' measures, each experiment beside its baseline; fails when a bound is missed.
+experiments: deps build
+	./build/bin/load $(sort $(wildcard experiments/*.yaml))
+
+# Latency, throughput and memory of one entry (docs/PERFORMANCE.md).
+benchmark: deps build
+	./build/bin/entry_benchmark
+
+# What one more of each thing costs, and the size of two years from now (docs/CAPACITY.md).
+capacity: deps build
+	./build/bin/capacity_benchmark
--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -135,6 +135,11 @@
     return readers;
 }
 
+std::vector<settings_reader> settings_reader::list_or_empty(const std::string& key)
+{
+    return take(key, false).IsDefined() ? list(key) : std::vector<settings_reader>();
+}
+
 std::string settings_reader::text(const std::string& key)
 {
     const YAML::Node value = take(key, true);
--- a/base/settings_reader.h
+++ b/base/settings_reader.h
@@ -27,6 +27,9 @@
     /// The mappings of a sequence below this one.
     std::vector<settings_reader> list(const std::string& key);
 
+    /// Same, but the key may be absent.
+    std::vector<settings_reader> list_or_empty(const std::string& key);
+
     /// Text. Without a default the key is required.
     std::string text(const std::string& key);
     std::string text(const std::string& key, const std::string& otherwise);
--- /dev/null
+++ b/benchmarks/capacity_benchmark.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -329,24 +329,6 @@
     }
 }
 
-void on_tick(consensus_state& state, actions& out, time_point now)
-{
-    if (state.role == consensus_role::leader) {
-        on_leader_tick(state, out, now);
-        return;
-    }
-    if (!can_campaign(state)) {
-        if (now >= state.hello_at) {
-            send_hello(state, out, now);
-        }
-        return;
-    }
-    if (now >= state.election_at) {
-        start_vote(state, out, true, now);
-        count_votes(state, out, now);
-    }
-}
-
 bool is_empty(const consensus_state& state)
 {
     return state.options.may_form && last_index(state.log) == 0 && state.members.voters.empty();
@@ -377,6 +359,25 @@
     count_votes(state, out, now);
 }
 
+void on_tick(consensus_state& state, actions& out, time_point now)
+{
+    if (state.role == consensus_role::leader) {
+        on_leader_tick(state, out, now);
+        return;
+    }
+    if (!can_campaign(state)) {
+        if (now >= state.hello_at) {
+            send_hello(state, out, now);
+            try_formation(state, out, now);
+        }
+        return;
+    }
+    if (now >= state.election_at) {
+        start_vote(state, out, true, now);
+        count_votes(state, out, now);
+    }
+}
+
 void handle(consensus_state& state, actions& out, const replica_id& from, const hello_request& it,
             time_point)
 {
--- a/core/presets/preset_policy.cpp
+++ b/core/presets/preset_policy.cpp
@@ -9,6 +9,7 @@
             return {.customer_backlog = 64,
                     .longest_wait = seconds(1),
                     .default_max_age = seconds(30),
+                    .transaction_idle_limit = seconds(2),
                     .takes_writes = true};
         case preset::maintenance: return {.takes_writes = false};
         case preset::ordinary: break;
--- a/core/presets/preset_policy.h
+++ b/core/presets/preset_policy.h
@@ -13,6 +13,8 @@
     duration longest_wait = seconds(5);
     /// Oldest data of a read whose caller states nothing.
     duration default_max_age = seconds(10);
+    /// A transaction without a statement for this long is rolled back, so that its locks end.
+    duration transaction_idle_limit = seconds(5);
     /// True when writes and transactions are taken.
     bool takes_writes = true;
 };
--- a/core/tests/consensus_test.cpp
+++ b/core/tests/consensus_test.cpp
@@ -44,6 +44,15 @@
     }
 }
 
+TEST_CASE("a single member forms and commits on its own", "[consensus]")
+{
+    consensus_fixture site({"a"});
+    site.run(seconds(3));
+    REQUIRE(site.leader() == "a");
+    site.propose("a", "x");
+    CHECK(site.applied("a") == std::vector<std::string>{"x"});
+}
+
 TEST_CASE("a leader that dies is replaced within the bound and nothing committed is lost",
           "[consensus]")
 {
--- a/entry/group_owner.cpp
+++ b/entry/group_owner.cpp
@@ -429,7 +429,7 @@
 {
     std::vector<std::string> idle;
     for (const auto& [name, it] : transactions_) {
-        if (it.work == 0 && now - it.used_at >= options_.transaction_idle_limit) {
+        if (it.work == 0 && now - it.used_at >= policy_.transaction_idle_limit) {
             idle.push_back(name);
         }
     }
--- a/entry/group_owner.h
+++ b/entry/group_owner.h
@@ -30,8 +30,6 @@
     duration fast_probe_interval = milliseconds(4);
     /// Probes while a replica has not applied everything that the primary has.
     duration catch_up_probe_interval = milliseconds(10);
-    /// A transaction without a statement for this long is rolled back.
-    duration transaction_idle_limit = seconds(10);
     /// How long a claim keeps a write from running again.
     duration claim_lifetime = std::chrono::hours(24);
 };
--- /dev/null
+++ b/rig/load/load_runner.cpp
@@ -0,0 +1,412 @@
+#include "rig/load/load_runner.h"
+
+#include <signal.h>
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QPointer>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "rig/client/caller.h"
+
+namespace balsamdrift::rig {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds tick_interval(1);
+constexpr milliseconds check_interval(200);
+constexpr milliseconds resend_pause(50);
+/// How long a caller waits beyond the time-out that it stated.
+constexpr milliseconds answer_grace(500);
+constexpr int most_tries = 40;
+constexpr seconds longest_drain(12);
+constexpr seconds progress_interval(5);
+constexpr std::size_t most_idle = 200;
+
+json parse(const std::string& text) { return json::parse(text, nullptr, false); }
+
+std::string text_member(const json& body, const char* name)
+{
+    return body.is_object() && body.contains(name) && body[name].is_string()
+               ? body[name].get<std::string>()
+               : std::string();
+}
+
+}  // namespace
+
+load_runner::load_runner(const experiment& plan, site& target, std::vector<std::string> keys)
+    : plan_(plan), site_(target), keys_(std::move(keys)), random_(plan.seed)
+{
+    for (const load_customer& it : plan_.customers) {
+        customer_state state;
+        state.sessions.resize(static_cast<std::size_t>(it.sessions));
+        for (std::size_t n = 0; n < state.sessions.size(); ++n) {
+            state.sessions[n].group = n % plan_.site.groups.size();
+        }
+        customers_.push_back(std::move(state));
+    }
+    for (const std::string& it : site_.entry_names()) {
+        auto point = parse_endpoint(site_.address_of(it, "callers"));
+        entries_.push_back(value_of(point));
+    }
+    idle_.resize(entries_.size());
+    entry_ready_.assign(entries_.size(), true);
+    timer_.setTimerType(Qt::PreciseTimer);
+    connect(&timer_, &QTimer::timeout, this, &load_runner::on_tick);
+}
+
+duration load_runner::elapsed() const { return monotonic_clock::now() - started_; }
+
+load_result load_runner::run()
+{
+    started_ = monotonic_clock::now();
+    timer_.start(tick_interval);
+    duration next_progress = progress_interval;
+    while (elapsed() < plan_.length ||
+           (in_flight_ > 0 && elapsed() < plan_.length + longest_drain)) {
+        QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+        if (elapsed() >= next_progress) {
+            std::fprintf(stderr, "  %s: %lld s, %zu requests answered, %zu under way\n",
+                         plan_.name.c_str(),
+                         static_cast<long long>(
+                             std::chrono::duration_cast<seconds>(elapsed()).count()),
+                         result_.records.size(), in_flight_);
+            next_progress += progress_interval;
+        }
+    }
+    timer_.stop();
+    audit(result_);
+    return std::move(result_);
+}
+
+void load_runner::on_tick()
+{
+    const duration now = elapsed();
+    run_faults(now);
+    if (now >= next_check_) {
+        next_check_ = now + check_interval;
+        check_entries();
+    }
+    if (now < plan_.length) {
+        start_arrivals(now);
+    }
+}
+
+void load_runner::start_arrivals(duration now)
+{
+    for (std::size_t n = 0; n < customers_.size(); ++n) {
+        const double load = plan_.customers[n].load;
+        while (load > 0 && customers_[n].next_arrival <= now) {
+            std::exponential_distribution<double> gap(load);
+            start(n, customers_[n].next_arrival);
+            customers_[n].next_arrival += std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(gap(random_)));
+        }
+    }
+}
+
+void load_runner::start(std::size_t customer, duration intended)
+{
+    auto& sessions = customers_[customer].sessions;
+    std::size_t chosen = random_() % sessions.size();
+    for (std::size_t n = 0; n < sessions.size() && sessions[chosen].busy; ++n) {
+        chosen = (chosen + 1) % sessions.size();
+    }
+    if (sessions[chosen].busy) {
+        sessions.push_back({.group = random_() % plan_.site.groups.size()});
+        chosen = sessions.size() - 1;
+    }
+    session& owner = sessions[chosen];
+    owner.busy = true;
+    auto it = std::make_shared<flight>();
+    it->session = chosen;
+    it->record.customer = customer;
+    it->record.group = owner.group;
+    it->record.intended = intended;
+    it->record.session_wrote = owner.wrote;
+    const int pick = static_cast<int>(random_() % 100);
+    const load_mix& mix = plan_.mix;
+    it->record.kind = pick < mix.read                          ? load_kind::read
+                      : pick < mix.read + mix.write            ? load_kind::write
+                      : pick < mix.read + mix.write + mix.once ? load_kind::once
+                                                               : load_kind::transaction;
+    if (it->record.kind == load_kind::read) {
+        it->expected = owner.last_row;
+    }
+    else {
+        it->record.rows.push_back("r" + std::to_string(next_row_++));
+    }
+    ++in_flight_;
+    send(it);
+}
+
+std::size_t load_runner::pick_entry()
+{
+    std::size_t chosen = random_() % entries_.size();
+    for (std::size_t n = 0; n < entries_.size() && !entry_ready_[chosen]; ++n) {
+        chosen = (chosen + 1) % entries_.size();
+    }
+    return chosen;
+}
+
+std::string load_runner::request_of(const flight& it) const
+{
+    const session& owner = customers_[it.record.customer].sessions[it.session];
+    std::string path = "/v1/databases/" + plan_.site.groups[it.record.group];
+    std::string body;
+    std::string headers;
+    const std::string insert = "INSERT INTO load_rows VALUES ($1)";
+    switch (it.record.kind) {
+        case load_kind::read:
+            path += "/statements";
+            body = json{{"sql", "SELECT id FROM load_rows WHERE id = $1"},
+                        {"params", {it.expected}},
+                        {"access", "read"}}
+                       .dump();
+            break;
+        case load_kind::once:
+            headers = "Idempotency-Key: " + it.record.rows[0] + "\r\n";
+            [[fallthrough]];
+        case load_kind::write:
+            path += "/statements";
+            body = json{{"sql", insert}, {"params", {it.record.rows[0]}}}.dump();
+            break;
+        case load_kind::transaction:
+            path += "/transactions";
+            if (it.step == 1) {
+                path += "/" + it.transaction + "/statements";
+                body = json{{"sql", insert}, {"params", {it.record.rows[0]}}}.dump();
+            }
+            else if (it.step == 2) {
+                path += "/" + it.transaction + "/commit";
+            }
+            break;
+    }
+    const auto timeout = to_milliseconds(plan_.timeout).count();
+    std::string request = "POST " + path + " HTTP/1.1\r\nHost: load\r\nAuthorization: Bearer " +
+                          keys_[it.record.customer] + "\r\nBalsamdrift-Timeout: " +
+                          std::to_string(timeout) + "ms\r\n" + headers;
+    if (!owner.token.empty()) {
+        request += "Balsamdrift-Session: " + owner.token + "\r\n";
+    }
+    return request + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void load_runner::send(const std::shared_ptr<flight>& it)
+{
+    ++it->tries;
+    // The steps of a transaction stay on one entry only by chance: sessions roam.
+    const std::size_t entry = pick_entry();
+    it->record.entry = entry;
+    std::unique_ptr<load_connection> connection;
+    if (!idle_[entry].empty()) {
+        connection = std::move(idle_[entry].back());
+        idle_[entry].pop_back();
+    }
+    if (!connection || !connection->is_usable()) {
+        connection = std::make_unique<load_connection>(entries_[entry]);
+    }
+    load_connection* const raw = connection.release();
+    it->connection = raw;
+    QTimer::singleShot(to_milliseconds(plan_.timeout) + answer_grace, raw,
+                       [it, raw, tries = it->tries] {
+                           if (it->connection == raw && it->tries == tries) {
+                               raw->abort();
+                           }
+                       });
+    raw->send(request_of(*it), [this, it, raw, entry](const load_answer& answer) {
+        it->connection = nullptr;
+        if (raw->is_usable() && idle_[entry].size() < most_idle) {
+            idle_[entry].push_back(std::unique_ptr<load_connection>(raw));
+        }
+        else {
+            raw->deleteLater();
+        }
+        on_answer(it, answer);
+    });
+}
+
+/// Moves a transaction on; true while another step follows.
+bool load_runner::advance_transaction(flight& it, const load_answer& answer)
+{
+    if (answer.status != 200 || it.step == 2) {
+        return false;
+    }
+    if (it.step == 0) {
+        it.transaction = text_member(parse(answer.body), "transaction");
+    }
+    ++it.step;
+    return true;
+}
+
+void load_runner::on_answer(const std::shared_ptr<flight>& it, const load_answer& answer)
+{
+    session& owner = customers_[it->record.customer].sessions[it->session];
+    if (!answer.session.empty()) {
+        owner.token = answer.session;
+    }
+    if (it->record.kind == load_kind::transaction && advance_transaction(*it, answer)) {
+        send(it);
+        return;
+    }
+    const json body = parse(answer.body);
+    it->record.status = answer.status;
+    it->record.code = text_member(body, "code");
+    it->record.outcome = text_member(body, "outcome");
+    const bool unsure = answer.status == 0 || it->record.outcome == "unknown";
+    const bool elsewhere = it->record.code == "not_ready" || it->record.code == "stopping";
+    const bool repeatable =
+        it->record.kind == load_kind::once || it->record.kind == load_kind::read;
+    const bool in_time = elapsed() - it->record.intended < plan_.timeout * 2;
+    // A caller sends again what may be repeated, and goes elsewhere when it is told so.
+    if (in_time && it->tries < most_tries && ((unsure && repeatable) || elsewhere)) {
+        QTimer::singleShot(resend_pause, this, [this, it] { send(it); });
+        return;
+    }
+    if (it->record.kind == load_kind::transaction && answer.status != 200 && it->step == 1) {
+        roll_back(*it);
+    }
+    if (answer.status == 200) {
+        if (it->record.kind == load_kind::read) {
+            it->record.from_replica = body.value("replica", false);
+            const bool found = !body["result"]["rows"].empty();
+            it->record.stale = !it->expected.empty() && !found;
+        }
+        else {
+            owner.last_row = it->record.rows[0];
+            owner.wrote = true;
+        }
+    }
+    finish(it);
+}
+
+/// Ends a transaction that the caller gives up, as a client library would.
+void load_runner::roll_back(const flight& it)
+{
+    const std::string path = "/v1/databases/" + plan_.site.groups[it.record.group] +
+                             "/transactions/" + it.transaction + "/rollback";
+    auto* connection = new load_connection(entries_[pick_entry()]);
+    connection->send("POST " + path + " HTTP/1.1\r\nHost: load\r\nConnection: close\r\n" +
+                         "Authorization: Bearer " + keys_[it.record.customer] +
+                         "\r\nContent-Length: 0\r\n\r\n",
+                     [connection](const load_answer&) { connection->deleteLater(); });
+}
+
+void load_runner::finish(const std::shared_ptr<flight>& it)
+{
+    it->record.latency = elapsed() - it->record.intended;
+    customers_[it->record.customer].sessions[it->session].busy = false;
+    result_.records.push_back(std::move(it->record));
+    --in_flight_;
+}
+
+void load_runner::check_entries()
+{
+    for (std::size_t n = 0; n < entries_.size(); ++n) {
+        auto* check = new load_connection(entries_[n]);
+        const QPointer<load_connection> guard(check);
+        check->send("GET /readyz HTTP/1.1\r\nHost: balancer\r\nConnection: close\r\n\r\n",
+                    [this, check, n](const load_answer& answer) {
+                        entry_ready_[n] = answer.status == 200;
+                        check->deleteLater();
+                    });
+        QTimer::singleShot(check_interval * 2, check, [guard] {
+            if (guard) {
+                guard->abort();
+            }
+        });
+    }
+}
+
+std::string load_runner::resolve_target(const std::string& target)
+{
+    if (target != "leader" && target != "primary" && target != "owner") {
+        return target;
+    }
+    const json status = site_.control({"status", "--timeout_s=3"}).body;
+    if (target == "leader") {
+        return status.value("leader", "");
+    }
+    for (const auto& it : status["groups"]) {
+        if (it["group"] == plan_.site.groups.front()) {
+            if (target == "primary") {
+                return it.value("primary", "");
+            }
+            if (target == "owner") {
+                return it.value("owner", "");
+            }
+        }
+    }
+    return target;
+}
+
+void load_runner::inject(const scheduled_fault& fault)
+{
+    const std::string name = resolve_target(fault.target);
+    result_.faults.push_back({elapsed(), fault.kind + " " + name});
+    if (fault.kind == "kill") {
+        site_.signal(name, SIGKILL);
+    }
+    else if (fault.kind == "freeze") {
+        site_.signal(name, SIGSTOP);
+    }
+    else if (fault.kind == "thaw") {
+        site_.signal(name, SIGCONT);
+    }
+    else if (fault.kind == "stop") {
+        site_.signal(name, SIGTERM);
+    }
+    else if (fault.kind == "restart") {
+        (void)site_.restart(name);
+    }
+    else {
+        site_.order(name, {.cut = fault.kind == "cut"});
+    }
+}
+
+void load_runner::run_faults(duration now)
+{
+    while (next_fault_ < plan_.faults.size() && plan_.faults[next_fault_].at <= now) {
+        inject(plan_.faults[next_fault_++]);
+    }
+}
+
+void load_runner::audit(load_result& result)
+{
+    std::map<std::string, std::size_t> held;
+    for (const std::string& group : plan_.site.groups) {
+        caller reader(site_.address_of(site_.entry_names().at(pick_entry()), "callers"), keys_[0]);
+        // A write of its own brings the session past everything acknowledged.
+        caller_answer mark;
+        for (int n = 0; n < 50 && mark.status != 200; ++n) {
+            reader.move_to(site_.address_of(site_.entry_names().at(pick_entry()), "callers"));
+            mark = reader.statement(group, "DELETE FROM load_rows WHERE id = ''",
+                                    json::array(), {.access = "idempotent"});
+        }
+        const auto rows = reader.read(group, "SELECT id, count(*) FROM load_rows GROUP BY id");
+        if (rows.status != 200) {
+            std::fprintf(stderr, "the audit could not read group %s\n", group.c_str());
+            result.audit.lost += 1;
+            continue;
+        }
+        for (const auto& row : rows.body["result"]["rows"]) {
+            held[row[0].get<std::string>()] += row[1].get<std::size_t>();
+        }
+    }
+    for (const load_record& it : result.records) {
+        result.audit.stale_reads += it.stale ? 1 : 0;
+        for (const std::string& row : it.rows) {
+            const auto found = held.find(row);
+            const std::size_t count = found == held.end() ? 0 : found->second;
+            result.audit.acknowledged += it.status == 200 ? 1 : 0;
+            result.audit.lost += it.status == 200 && count == 0 ? 1 : 0;
+            result.audit.doubled += count > 1 ? 1 : 0;
+            result.audit.misreported += it.outcome == "not_run" && count > 0 ? 1 : 0;
+        }
+    }
+}
+
+}  // namespace balsamdrift::rig
--- /dev/null
+++ b/rig/load/main.cpp
@@ -0,0 +1,107 @@
+#include <gflags/gflags.h>
+
+#include <QCoreApplication>
+#include <QDir>
+#include <QTemporaryDir>
+#include <QThread>
+#include <cstdio>
+#include <fstream>
+
+#include "rig/client/caller.h"
+#include "rig/load/load_report.h"
+#include "rig/load/load_runner.h"
+
+DEFINE_string(output, "build/experiments", "folder for the reports in JSON and HTML");
+DEFINE_uint64(seed, 0, "seed that replaces the ones of the files");
+DEFINE_string(keep, "", "folder that the logs of the site stay in");
+
+namespace {
+
+constexpr unsigned long settle_ms = 300;
+
+using namespace balsamdrift;
+using namespace balsamdrift::rig;
+
+/// Starts the site of an experiment with its customers and table; gives the customers' keys.
+outcome<std::vector<std::string>> prepare(const experiment& plan, site& target)
+{
+    if (auto started = target.start(); !succeeded(started)) {
+        return failure_of(started);
+    }
+    std::vector<std::string> keys;
+    for (const load_customer& it : plan.customers) {
+        auto key = target.make_customer(it.name, it.rate, it.burst);
+        if (!succeeded(key)) {
+            return failure_of(key);
+        }
+        keys.push_back(value_of(key));
+    }
+    if (!target.wait_until_ready(seconds(20))) {
+        return failure{"the site did not become ready"};
+    }
+    caller setup(target.address_of(target.entry_names().front(), "callers"), keys.front());
+    for (const std::string& group : plan.site.groups) {
+        if (setup.statement(group, "CREATE TABLE load_rows (id text)").status != 200) {
+            return failure{"the table of group " + group + " was not made"};
+        }
+    }
+    // Sessions that never wrote may read at a replica at once, so the tables must be there.
+    QThread::msleep(static_cast<unsigned long>(
+        to_milliseconds(plan.site.apply_lag + plan.site.ship_delay).count() + settle_ms));
+    return keys;
+}
+
+/// Runs one experiment; false when it missed a bound or could not run.
+bool run(experiment plan)
+{
+    QTemporaryDir folder;
+    plan.site.folder = FLAGS_keep.empty() ? folder.path().toStdString() : FLAGS_keep;
+    plan.site.binaries = QCoreApplication::applicationDirPath().toStdString();
+    site target(plan.site);
+    auto keys = prepare(plan, target);
+    if (!succeeded(keys)) {
+        std::printf("experiment %s did not start: %s\n", plan.name.c_str(),
+                    failure_of(keys).message.c_str());
+        return false;
+    }
+    load_runner runner(plan, target, value_of(keys));
+    const load_result result = runner.run();
+    const load_measures measures = measure(plan, result);
+    std::printf("%s\n", format_table(plan, measures).c_str());
+    std::fflush(stdout);
+    std::ofstream(FLAGS_output + "/" + plan.name + ".json") << to_json(plan, measures).dump(2);
+    std::ofstream(FLAGS_output + "/" + plan.name + ".html") << format_html(plan, result, measures);
+    return measures.missed_bounds.empty();
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("load FILE...\n\nRuns the experiments that the files describe. Exit "
+                            "codes: 0 all bounds held, 1 one was missed, 64 wrong command line, 78 "
+                            "a file has mistakes.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc < 2) {
+        std::fprintf(stderr, "usage: load FILE...\n");
+        return 64;
+    }
+    QCoreApplication app(argc, argv);
+    QDir().mkpath(QString::fromStdString(FLAGS_output));
+    bool good = true;
+    for (int n = 1; n < argc; ++n) {
+        auto plan = read_experiment(argv[n]);
+        if (const auto* problems = std::get_if<std::vector<std::string>>(&plan)) {
+            for (const std::string& it : *problems) {
+                std::fprintf(stderr, "%s\n", it.c_str());
+            }
+            return 78;
+        }
+        auto& valid = std::get<experiment>(plan);
+        if (FLAGS_seed != 0) {
+            valid.seed = FLAGS_seed;
+        }
+        good = run(valid) && good;
+    }
+    return good ? 0 : 1;
+}
--- a/rig/site/site.cpp
+++ b/rig/site/site.cpp
@@ -331,6 +331,11 @@
     ::kill(static_cast<pid_t>(processes_.at(name).process->processId()), number);
 }
 
+qint64 site::process_id(const std::string& name) const
+{
+    return processes_.at(name).process->processId();
+}
+
 outcome<std::monostate> site::restart(const std::string& name)
 {
     return launch(processes_.at(name));
--- a/rig/site/site.h
+++ b/rig/site/site.h
@@ -54,6 +54,9 @@
     /// Sends a signal to a process, by its own id.
     void signal(const std::string& name, int number);
 
+    /// Number of a running process.
+    qint64 process_id(const std::string& name) const;
+
     /// Starts a process again that ended, with the same command line.
     outcome<std::monostate> restart(const std::string& name);
 
