--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -24,7 +24,8 @@
 
 using namespace balsamdrift;
 
-/// The size that the users expect within two years. Customers and keys are this project's assumption.
+/// The size that the users expect within two years. Customers and keys are this project's
+/// assumption.
 constexpr int future_entries = 1500;
 constexpr int future_groups = 2000;
 constexpr int future_customers = 10'000;
@@ -204,44 +205,42 @@
     const registry_command one = change(1'000'000, put_customer{"customer-1", 50, 50});
     const std::string data = encode_variant(one);
     row("bytes of one change in the log", static_cast<double>(data.size()), "bytes");
-    const lease_grant push{.incarnation = 2,
-                           .snapshot = {},
-                           .entries = {{.index = 1, .term = 1, .data = data}}};
+    const lease_grant push{
+        .incarnation = 2, .snapshot = {}, .entries = {{.index = 1, .term = 1, .data = data}}};
     row("bytes of one change to one entry",
         static_cast<double>(encode_variant(lease_message(push)).size()) + 72, "bytes");
     const double pushing = cost_us(2000, [&] { (void)encode_variant(lease_message(push)); });
     row("push of one change to all entries", pushing * entries, "us");
     row("changes, share of a core (copy, hash, push)",
-        (copying + hash + pushing * entries) * future_changes_a_day / seconds_a_day / 1e6 * 100, "%");
+        (copying + hash + pushing * entries) * future_changes_a_day / seconds_a_day / 1e6 * 100,
+        "%");
 }
 
 /// Costs of an entry: what a node spends for control.
 void print_entry()
 {
     std::printf("entry at the size of two years from now\n");
-    registry state =
-        make_registry(future_entries, future_groups, future_customers, future_keys);
+    registry state = make_registry(future_entries, future_groups, future_customers, future_keys);
     const auto live = all_live(state);
     (void)apply(state, state.index + 1, plan_assignments(state, live, 4).assign);
     const double before = heap_bytes();
     const auto first = std::make_unique<registry>(state);
     const double one = heap_bytes() - before;
     row("memory of the configuration, own copy and published one", 2 * one / 1024 / 1024, "MiB");
-    const std::string data =
-        encode_variant(change(1'000'000, put_customer{"customer-1", 50, 50}));
+    const std::string data = encode_variant(change(1'000'000, put_customer{"customer-1", 50, 50}));
     const double applying = cost_us(5, [&] {
         (void)apply_encoded(*first, first->index + 1, data);
         (void)std::make_shared<const registry>(*first);
     });
     row("taking one change into force", applying, "us");
-    row("changes, share of a core", applying * future_changes_a_day / seconds_a_day / 1e6 * 100, "%");
+    row("changes, share of a core", applying * future_changes_a_day / seconds_a_day / 1e6 * 100,
+        "%");
     const work_request request{.customer = "customer-1", .group = "group-1", .sql = "SELECT 1"};
     const std::string bytes = encode_variant(work_message(request));
     row("bytes of a statement to its owner, without its SQL",
         static_cast<double>(bytes.size()) - 8 + 72, "bytes");
-    const double coding = cost_us(20'000, [&] {
-        (void)decode_variant<work_message>(encode_variant(work_message(request)));
-    });
+    const double coding = cost_us(
+        20'000, [&] { (void)decode_variant<work_message>(encode_variant(work_message(request))); });
     row("encoding and decoding a statement", coding, "us");
 }
 
--- a/benchmarks/entry_benchmark.cpp
+++ b/benchmarks/entry_benchmark.cpp
@@ -131,7 +131,8 @@
         it->send(request, [&, it](const load_answer& answer) {
             answered += answer.status == 200 ? 1 : 0;
             if (!stopping) {
-                QMetaObject::invokeMethod(it, [&next, it] { next(it); }, Qt::QueuedConnection);
+                QMetaObject::invokeMethod(
+                    it, [&next, it] { next(it); }, Qt::QueuedConnection);
             }
         });
     };
@@ -184,8 +185,8 @@
             .database_threads = 1};
 }
 
-/// Runs all measures on a site of this many entries, at an entry beside the group's owner if there is
-/// one.
+/// Runs all measures on a site of this many entries, at an entry beside the group's owner if there
+/// is one.
 bool run(int entries)
 {
     QTemporaryDir folder;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -15,7 +15,8 @@
 constexpr milliseconds tick_interval(10);
 constexpr milliseconds assign_interval(50);
 
-/// How often operators' view of the member is made anew; the registry is copied for it if it changed.
+/// How often operators' view of the member is made anew; the registry is copied for it if it
+/// changed.
 constexpr milliseconds publish_interval(100);
 constexpr seconds reopen_interval(1);
 constexpr std::size_t most_recalls = 4;
--- a/rig/load/load_record.h
+++ b/rig/load/load_record.h
@@ -23,7 +23,8 @@
     int status = 0;
     std::string code;
     bool from_replica = false;
-    /// True when the session had written before, so that a primary-only policy would use the primary.
+    /// True when the session had written before, so that a primary-only policy would use the
+    /// primary.
     bool session_wrote = false;
     /// Rows that the request wrote.
     std::vector<std::string> rows;
--- a/rig/load/load_report.cpp
+++ b/rig/load/load_report.cpp
@@ -42,7 +42,8 @@
     std::map<std::size_t, token_bucket> buckets;
     std::size_t refused = 0;
     for (const load_record* it : records) {
-        const auto [bucket, fresh] = buckets.try_emplace(it->entry, make_full_bucket(limits, start));
+        const auto [bucket, fresh] =
+            buckets.try_emplace(it->entry, make_full_bucket(limits, start));
         const auto taken = take_token(bucket->second, start + it->intended);
         refused += std::holds_alternative<token_refused>(taken) ? 1 : 0;
     }
@@ -154,8 +155,8 @@
     for (const load_record& it : result.records) {
         top = std::max(top, to_ms(it.latency));
     }
-    std::string svg = line("<svg viewBox=\"0 0 %g %g\" width=\"%g\">", plot_width,
-                           plot_height + 30, plot_width);
+    std::string svg =
+        line("<svg viewBox=\"0 0 %g %g\" width=\"%g\">", plot_width, plot_height + 30, plot_width);
     for (const load_record& it : result.records) {
         const double x = to_ms(it.intended) / length * plot_width;
         const double y = plot_height - to_ms(it.latency) / top * plot_height;
@@ -166,8 +167,8 @@
         const double x = to_ms(it.at) / length * plot_width;
         svg += line("<line x1=\"%.1f\" x2=\"%.1f\" y1=\"0\" y2=\"%g\" stroke=\"#888\"/>", x, x,
                     plot_height);
-        svg += line("<text x=\"%.1f\" y=\"%g\" font-size=\"11\">%s</text>", x + 2,
-                    plot_height + 14, it.text.c_str());
+        svg += line("<text x=\"%.1f\" y=\"%g\" font-size=\"11\">%s</text>", x + 2, plot_height + 14,
+                    it.text.c_str());
     }
     svg += line("<text x=\"2\" y=\"11\" font-size=\"11\">%.0f ms</text></svg>", top);
     return svg;
@@ -243,14 +244,16 @@
     }
     text += line("  reads on replicas          %6.2f%%   (primary after a write: %.2f%%)\n",
                  it.replica_share * 100, it.replica_share_primary_only * 100);
-    text += line("  gap for writes, reads      %6.0f ms  %.0f ms\n", it.write_gap_ms, it.read_gap_ms);
+    text +=
+        line("  gap for writes, reads      %6.0f ms  %.0f ms\n", it.write_gap_ms, it.read_gap_ms);
     text += line("  worst served, its p99      %6.2f%%   %.1f ms\n", it.worst_served_share * 100,
                  it.worst_p99_ms);
     text += line("  refused within the rate    %6.3f%%   (rate split evenly: %.3f%%)\n",
                  it.refused_in_rate * 100, it.refused_in_rate_even_split * 100);
-    text += line("  rows acknowledged %zu, lost %zu, doubled %zu, misreported %zu, stale reads %zu\n",
-                 it.audit.acknowledged, it.audit.lost, it.audit.doubled, it.audit.misreported,
-                 it.audit.stale_reads);
+    text +=
+        line("  rows acknowledged %zu, lost %zu, doubled %zu, misreported %zu, stale reads %zu\n",
+             it.audit.acknowledged, it.audit.lost, it.audit.doubled, it.audit.misreported,
+             it.audit.stale_reads);
     for (const auto& [code, count] : it.codes) {
         text += line("  not served: %6zu %s\n", count, code.c_str());
     }
--- a/rig/load/load_runner.cpp
+++ b/rig/load/load_runner.cpp
@@ -69,11 +69,10 @@
            (in_flight_ > 0 && elapsed() < plan_.length + longest_drain)) {
         QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
         if (elapsed() >= next_progress) {
-            std::fprintf(stderr, "  %s: %lld s, %zu requests answered, %zu under way\n",
-                         plan_.name.c_str(),
-                         static_cast<long long>(
-                             std::chrono::duration_cast<seconds>(elapsed()).count()),
-                         result_.records.size(), in_flight_);
+            std::fprintf(
+                stderr, "  %s: %lld s, %zu requests answered, %zu under way\n", plan_.name.c_str(),
+                static_cast<long long>(std::chrono::duration_cast<seconds>(elapsed()).count()),
+                result_.records.size(), in_flight_);
             next_progress += progress_interval;
         }
     }
@@ -102,8 +101,8 @@
         while (load > 0 && customers_[n].next_arrival <= now) {
             std::exponential_distribution<double> gap(load);
             start(n, customers_[n].next_arrival);
-            customers_[n].next_arrival += std::chrono::duration_cast<duration>(
-                std::chrono::duration<double>(gap(random_)));
+            customers_[n].next_arrival +=
+                std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random_)));
         }
     }
 }
@@ -187,8 +186,9 @@
     }
     const auto timeout = to_milliseconds(plan_.timeout).count();
     std::string request = "POST " + path + " HTTP/1.1\r\nHost: load\r\nAuthorization: Bearer " +
-                          keys_[it.record.customer] + "\r\nBalsamdrift-Timeout: " +
-                          std::to_string(timeout) + "ms\r\n" + headers;
+                          keys_[it.record.customer] +
+                          "\r\nBalsamdrift-Timeout: " + std::to_string(timeout) + "ms\r\n" +
+                          headers;
     if (!owner.token.empty()) {
         request += "Balsamdrift-Session: " + owner.token + "\r\n";
     }
@@ -256,6 +256,9 @@
     it->record.status = answer.status;
     it->record.code = text_member(body, "code");
     it->record.outcome = text_member(body, "outcome");
+    if (it->record.code == "sql_error") {
+        it->record.code += " " + text_member(body, "detail");
+    }
     const bool unsure = answer.status == 0 || it->record.outcome == "unknown";
     const bool elsewhere = it->record.code == "not_ready" || it->record.code == "stopping";
     const bool repeatable =
@@ -383,8 +386,8 @@
         caller_answer mark;
         for (int n = 0; n < 50 && mark.status != 200; ++n) {
             reader.move_to(site_.address_of(site_.entry_names().at(pick_entry()), "callers"));
-            mark = reader.statement(group, "DELETE FROM load_rows WHERE id = ''",
-                                    json::array(), {.access = "idempotent"});
+            mark = reader.statement(group, "DELETE FROM load_rows WHERE id = ''", json::array(),
+                                    {.access = "idempotent"});
         }
         const auto rows = reader.read(group, "SELECT id, count(*) FROM load_rows GROUP BY id");
         if (rows.status != 200) {
--- a/rig/load/load_runner.h
+++ b/rig/load/load_runner.h
@@ -15,8 +15,8 @@
 
 namespace balsamdrift::rig {
 
-/// Runs an open-loop load against a site: arrivals follow their schedule whether answers come or not,
-/// sessions roam over the entries that the balancer holds ready, faults happen at their times.
+/// Runs an open-loop load against a site: arrivals follow their schedule whether answers come or
+/// not, sessions roam over the entries that the balancer holds ready, faults happen at their times.
 class load_runner : public QObject {
 public:
     load_runner(const experiment& plan, site& target, std::vector<std::string> keys);
--- a/rig/site/site.cpp
+++ b/rig/site/site.cpp
@@ -44,9 +44,19 @@
 
 std::uint16_t free_port()
 {
+    // Below the ports that the system gives to outgoing connections, so that none takes it
+    // meanwhile.
+    constexpr int first_port = 20'000;
+    constexpr int port_count = 12'000;
+    static int next = static_cast<int>(QCoreApplication::applicationPid() * 97 % port_count);
     QTcpServer probe;
-    probe.listen(QHostAddress::LocalHost, 0);
-    return probe.serverPort();
+    while (true) {
+        next = (next + 1) % port_count;
+        const auto port = static_cast<std::uint16_t>(first_port + next);
+        if (probe.listen(QHostAddress::LocalHost, port)) {
+            return port;
+        }
+    }
 }
 
 struct site::implementation {
