Leave no process behind when a tool of the rig is ended

Cause: three control members of a benchmark that had aborted ran on for 17 minutes beside later measurements, and a load tool that was ended left its 18 processes. Change: children of a site end with it. After: the demo passes; that no child is left was not tested.

Also: the benchmark takes the number of entries as an argument, since its two halves differ in noise.

--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -271,7 +271,8 @@
                   seconds span)
 {
     const time_point began = monotonic_clock::now();
-    const auto total = static_cast<int>(renewals_a_second * entries * span.count());
+    const auto total =
+        static_cast<int>(renewals_a_second * entries * static_cast<double>(span.count()));
     for (int n = 0; n < total; ++n) {
         const int entry = n % entries;
         entry_record record = record_of(entry);
--- a/benchmarks/entry_benchmark.cpp
+++ b/benchmarks/entry_benchmark.cpp
@@ -276,6 +276,9 @@
 int main(int argc, char** argv)
 {
     QCoreApplication app(argc, argv);
+    if (argc > 1) {
+        return run(std::stoi(argv[1])) ? 0 : 1;
+    }
     const bool alone = run(1);
     const bool together = run(3);
     return alone && together ? 0 : 1;
--- a/rig/site/site.cpp
+++ b/rig/site/site.cpp
@@ -1,6 +1,7 @@
 #include "rig/site/site.h"
 
 #include <signal.h>
+#include <sys/prctl.h>
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
@@ -204,6 +205,8 @@
 outcome<std::monostate> site::launch(site_process& it)
 {
     it.process = std::make_unique<QProcess>();
+    // A tool that is ended in the middle leaves no process behind.
+    it.process->setChildProcessModifier([] { ::prctl(PR_SET_PDEATHSIG, SIGKILL); });
     it.process->setStandardErrorFile(QString::fromStdString(path(it.name + ".err")));
     QStringList arguments;
     for (const std::string& argument : it.arguments) {
