Make one piece serve where logic stood twice

Signing stood in the fleet and in session tokens, drawing an identity in four files, the options of an entry in its settings and in its service, processor time in two benchmarks, waiting in the demo and the tests. Behaviour is unchanged: the tests of the packages pass, the demo passes.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -136,16 +136,7 @@
     if (!succeeded(listening)) {
         return fail(failure_of(listening));
     }
-    entry = std::make_unique<entry_service>(
-        entry_options{.name = settings.common.name,
-                      .failure_domain = settings.failure_domain,
-                      .callers = settings.callers,
-                      .platform = settings.platform,
-                      .database_threads = settings.database_threads,
-                      .control = settings.control,
-                      .lease_renew_interval = settings.lease_renew_interval,
-                      .operator_token = settings.common.operator_token},
-        fleet);
+    entry = std::make_unique<entry_service>(settings.entry, fleet);
     auto started = entry->start();
     if (!succeeded(started)) {
         return fail(failure_of(started));
--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -117,18 +117,20 @@
 entry_settings read_entry(settings_reader& root, common_settings common)
 {
     entry_settings settings;
-    settings.failure_domain = root.text("failure_domain");
-    settings.callers = read_server(root.section("callers"), 2);
-    settings.platform = read_server(root.section("platform"), 1);
+    entry_options& entry = settings.entry;
+    entry.name = common.name;
+    entry.operator_token = common.operator_token;
+    entry.failure_domain = root.text("failure_domain");
+    entry.callers = read_server(root.section("callers"), 2);
+    entry.platform = read_server(root.section("platform"), 1);
     settings_reader databases = root.section("databases", false);
-    settings.database_threads = static_cast<int>(databases.number("threads", 2, 1, most_threads));
+    entry.database_threads = static_cast<int>(databases.number("threads", 2, 1, most_threads));
     (void)databases.finish();
     settings_reader control = root.section("control");
     for (const endpoint& it : control.addresses("members")) {
-        settings.control.push_back(to_string(it));
+        entry.control.push_back(to_string(it));
     }
-    settings.lease_renew_interval =
-        control.span("lease_renew_interval", settings.lease_renew_interval);
+    entry.lease_renew_interval = control.span("lease_renew_interval", entry.lease_renew_interval);
     (void)control.finish();
     settings_reader stop = root.section("stop", false);
     settings.drain_notice = stop.span("notice", settings.drain_notice);
--- a/apps/daemon_settings.h
+++ b/apps/daemon_settings.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "callers/http_server.h"
 #include "control/control_options.h"
+#include "entry/entry_service.h"
 
 namespace balsamdrift {
 
@@ -32,12 +33,7 @@
 /// Settings of an entry.
 struct entry_settings {
     common_settings common;
-    std::string failure_domain;
-    http_server_options callers;
-    http_server_options platform;
-    int database_threads = 2;
-    std::vector<std::string> control;
-    duration lease_renew_interval = milliseconds(500);
+    entry_options entry;
     /// A stop first reports unready for this long, so that the balancer sends callers elsewhere.
     duration drain_notice = seconds(1);
     /// A stop ends whatever is left after this.
--- a/benchmarks/capacity_benchmark.cpp
+++ b/benchmarks/capacity_benchmark.cpp
@@ -1,5 +1,4 @@
 #include <malloc.h>
-#include <unistd.h>
 
 #include <QCoreApplication>
 #include <QTemporaryDir>
@@ -7,7 +6,6 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
-#include <fstream>
 #include <functional>
 #include <string>
 #include <thread>
@@ -23,6 +21,7 @@
 #include "fleet/fleet_node.h"
 #include "fleet/lease_message.h"
 #include "fleet/work_message.h"
+#include "rig/site/process_usage.h"
 #include "rig/site/site.h"
 
 // What one more entry, group, customer, key and change costs: bytes, memory and processor time, and
@@ -252,20 +251,6 @@
     row("encoding and decoding a statement", coding, "us");
 }
 
-/// Processor seconds that a process has used, with its threads.
-double process_seconds(qint64 pid)
-{
-    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-    std::string word;
-    double ticks = 0;
-    constexpr int user_field = 14;
-    constexpr int system_field = 15;
-    for (int n = 1; n <= system_field && in >> word; ++n) {
-        ticks += n >= user_field ? std::stod(word) : 0;
-    }
-    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
 /// Renews the leases of `entries` imagined entries at a running site for a while, evenly spread.
 void renew_leases(fleet_node& fleet, const std::vector<std::string>& control, int entries,
                   seconds span)
@@ -317,14 +302,14 @@
         if (entries > 0) {
             renew_leases(fleet, control, entries, seconds(3));
         }
-        const double before = process_seconds(target.process_id(leader));
+        const double before = rig::processor_seconds(target.process_id(leader));
         if (entries > 0) {
             renew_leases(fleet, control, entries, span);
         }
         else {
             std::this_thread::sleep_for(span);
         }
-        const double used = (process_seconds(target.process_id(leader)) - before) /
+        const double used = (rig::processor_seconds(target.process_id(leader)) - before) /
                             static_cast<double>(span.count());
         std::printf("  %5d entries: leader %6.2f%% of a core", entries, used * 100);
         if (entries > 0) {
--- a/benchmarks/entry_benchmark.cpp
+++ b/benchmarks/entry_benchmark.cpp
@@ -1,5 +1,3 @@
-#include <unistd.h>
-
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QEventLoop>
@@ -8,12 +6,12 @@
 #include <QThread>
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <functional>
 
 #include "databases/pg_connection.h"
 #include "rig/client/caller.h"
 #include "rig/load/load_connection.h"
+#include "rig/site/process_usage.h"
 #include "rig/site/site.h"
 
 // Latency that the system adds, statements a second of one entry, and memory of idle connections.
@@ -110,30 +108,6 @@
     QThread::msleep(500);
 }
 
-/// Processor seconds that a process has used.
-double processor_seconds(qint64 pid)
-{
-    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-    std::string word;
-    double ticks = 0;
-    constexpr int user_field = 14;
-    constexpr int system_field = 15;
-    for (int n = 1; n <= system_field && in >> word; ++n) {
-        ticks += n >= user_field ? std::stod(word) : 0;
-    }
-    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
-/// Resident memory of a process in bytes.
-double resident_bytes(qint64 pid)
-{
-    std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
-    double total = 0;
-    double resident = 0;
-    in >> total >> resident;
-    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
-}
-
 /// What a closed loop of connections got from one entry.
 struct throughput {
     double per_second = 0;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -7,6 +7,7 @@
 #include "base/codec.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/random.h"
 #include "core/ownership/assignment.h"
 
 namespace balsamdrift {
@@ -41,12 +42,6 @@
     return secret;
 }
 
-std::uint64_t random_seed()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32) | device();
-}
-
 }  // namespace
 
 control_service::control_service(control_options options, fleet_node& fleet)
@@ -94,7 +89,7 @@
                            .election_timeout = options_.election_timeout,
                            .election_jitter = options_.election_jitter,
                            .may_form = it.may_form,
-                           .random_seed = random_seed()};
+                           .random_seed = random_identity()};
     consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
     return std::monostate{};
 }
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -7,9 +7,9 @@
 
 #include <cstring>
 #include <filesystem>
-#include <random>
 
 #include "base/codec.h"
+#include "base/random.h"
 #include "control/synced_file.h"
 
 namespace balsamdrift {
@@ -140,13 +140,6 @@
     return replace_file(folder, "incarnation", bytes);
 }
 
-std::uint64_t random_incarnation()
-{
-    std::random_device device;
-    const std::uint64_t high = device();
-    return ((high << 32) | device()) | 1;
-}
-
 /// Moves the files of a damaged folder into a subfolder, for a person to look at.
 outcome<std::monostate> set_aside(const std::string& folder)
 {
@@ -206,7 +199,7 @@
         it.may_form = false;
     }
     if (it.incarnation == 0) {
-        it.incarnation = random_incarnation();
+        it.incarnation = random_identity();
         if (auto res = create_files(folder, it.incarnation); !succeeded(res)) {
             return failure_of(res);
         }
--- a/core/sessions/session_token.cpp
+++ b/core/sessions/session_token.cpp
@@ -1,30 +1,16 @@
 #include "core/sessions/session_token.h"
 
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <QByteArray>
 #include <algorithm>
 
 #include "base/codec.h"
+#include "base/signature.h"
 
 namespace balsamdrift {
 namespace {
 
-constexpr std::size_t signature_bytes = 32;
 constexpr std::size_t longest_token = 8192;
 
-std::string sign(std::string_view payload, const std::string& secret)
-{
-    std::string signature(signature_bytes, '\0');
-    unsigned length = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-         reinterpret_cast<const unsigned char*>(payload.data()), payload.size(),
-         reinterpret_cast<unsigned char*>(signature.data()), &length);
-    return signature;
-}
-
 constexpr auto base64_options = QByteArray::Base64UrlEncoding | QByteArray::OmitTrailingEquals;
 
 }  // namespace
@@ -49,8 +35,7 @@
     }
     const std::string bytes = decoded.decoded.toStdString();
     const std::string payload = bytes.substr(signature_bytes);
-    const std::string expected = sign(payload, secret);
-    if (CRYPTO_memcmp(bytes.data(), expected.data(), signature_bytes) != 0) {
+    if (!is_signature_of(std::string_view(bytes).substr(0, signature_bytes), payload, secret)) {
         return failure{"the session token's signature is wrong"};
     }
     auto token = decode<session_token>(payload);
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -1,11 +1,11 @@
 #include "entry/entry_service.h"
 
 #include <nlohmann/json.hpp>
-#include <random>
 
 #include "base/codec.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "base/random.h"
 #include "operators/timeline_json.h"
 #include "platform/announcement_request.h"
 
@@ -14,12 +14,6 @@
 
 using nlohmann::json;
 
-std::uint64_t random_incarnation()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32) | device() | 1;
-}
-
 json position_json(const log_position& it) { return {{"term", it.term}, {"lsn", it.lsn}}; }
 
 json instance_json(const std::string& name, const instance_state& it, const group_status& group)
@@ -63,7 +57,7 @@
 entry_service::entry_service(entry_options options, fleet_node& fleet)
     : options_(std::move(options)),
       fleet_(fleet),
-      view_({options_.name, random_incarnation()}),
+      view_({options_.name, random_identity()}),
       owners_({.threads = options_.database_threads, .failure_domain = options_.failure_domain},
               view_, [this](const registry_command& it) { lease_->propose(it); }),
       router_(view_, fleet_, owners_),
--- a/entry/work_router.cpp
+++ b/entry/work_router.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <optional>
-#include <random>
 #include <vector>
 
 #include "base/codec.h"
+#include "base/random.h"
 #include "core/registry/item_id.h"
 #include "entry/answers.h"
 
@@ -21,12 +21,6 @@
 /// When a caller of a VM without a lease may come back.
 constexpr milliseconds cut_off_retry(500);
 
-std::uint64_t random_start()
-{
-    std::random_device device;
-    return (std::uint64_t{device()} << 32) | device();
-}
-
 /// True when the owner recognizes a second copy or a second run does no harm.
 bool may_resend(const work_request& it)
 {
@@ -67,7 +61,7 @@
 }  // namespace
 
 work_router::work_router(entry_view& view, fleet_node& fleet, owner_host& owners)
-    : view_(view), fleet_(fleet), owners_(owners), next_id_(random_start())
+    : view_(view), fleet_(fleet), owners_(owners), next_id_(random_identity())
 {
 }
 
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -3,9 +3,6 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
-#include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 #include <atomic>
 #include <map>
@@ -14,11 +11,11 @@
 #include "base/codec.h"
 #include "base/event_log.h"
 #include "base/sharded.h"
+#include "base/signature.h"
 
 namespace balsamdrift {
 namespace {
 
-constexpr std::size_t signature_bytes = 32;
 constexpr int send_queue_messages = 1024;
 constexpr int receive_queue_messages = 1024;
 constexpr nng_duration reconnect_min_ms = 20;
@@ -26,23 +23,10 @@
 constexpr nng_duration receive_timeout_ms = 200;
 constexpr std::size_t largest_message = std::size_t{64} * 1024 * 1024;
 
-std::string sign(std::string_view frame, const std::string& secret)
-{
-    std::string signature(signature_bytes, '\0');
-    unsigned length = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-         reinterpret_cast<const unsigned char*>(frame.data()), frame.size(),
-         reinterpret_cast<unsigned char*>(signature.data()), &length);
-    return signature;
-}
-
 bool is_signed(std::string_view bytes, const std::string& secret)
 {
-    if (bytes.size() < signature_bytes) {
-        return false;
-    }
-    const std::string expected = sign(bytes.substr(signature_bytes), secret);
-    return CRYPTO_memcmp(expected.data(), bytes.data(), signature_bytes) == 0;
+    return bytes.size() >= signature_bytes &&
+           is_signature_of(bytes.substr(0, signature_bytes), bytes.substr(signature_bytes), secret);
 }
 
 /// Sockets to peers, one shard of them.
--- a/rig/demo/main.cpp
+++ b/rig/demo/main.cpp
@@ -1,13 +1,11 @@
 #include <signal.h>
 
 #include <QCoreApplication>
-#include <QElapsedTimer>
 #include <QTemporaryDir>
-#include <QThread>
 #include <cstdio>
-#include <functional>
 
 #include "rig/client/caller.h"
+#include "rig/client/wait.h"
 #include "rig/site/site.h"
 
 // Starts a whole site on loopback, shows what it does step by step, and stops it.
@@ -32,20 +30,6 @@
     bool failed_ = false;
 };
 
-/// Repeats a check until it holds or the limit has passed; gives the time it took.
-std::optional<milliseconds> wait_for(const std::function<bool()>& holds, milliseconds limit)
-{
-    QElapsedTimer clock;
-    clock.start();
-    while (clock.elapsed() < limit.count()) {
-        if (holds()) {
-            return milliseconds(clock.elapsed());
-        }
-        QThread::msleep(10);
-    }
-    return std::nullopt;
-}
-
 std::string first_cell(const caller_answer& answer)
 {
     if (answer.status != 200) {
@@ -95,7 +79,7 @@
     const std::string primary = site.primary_of("registry");
     site.signal(primary, SIGKILL);
     technician.move_to(callers_of(2));
-    const auto gap = wait_for(
+    const auto gap = time_until(
         [&] {
             return technician
                        .statement("registry",
@@ -114,8 +98,8 @@
 
     const auto withdrawn = site.control({"key", "withdraw", "agence-key"});
     const auto refused =
-        wait_for([&] { return technician.read("registry", query, {"GD-1047"}).status == 401; },
-                 milliseconds(5'000));
+        time_until([&] { return technician.read("registry", query, {"GD-1047"}).status == 401; },
+                   milliseconds(5'000));
     steps.check(withdrawn.exit_code == 0 && refused.has_value(),
                 "the withdrawn key is refused on the open connection after " +
                     (refused ? std::to_string(refused->count()) : "?") + " ms");
--- a/tests/site_fixture.h
+++ b/tests/site_fixture.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "rig/client/caller.h"
+#include "rig/client/wait.h"
 #include "rig/site/site.h"
 
 namespace balsamdrift::test {
@@ -81,21 +82,6 @@
     std::string key_;
 };
 
-/// Milliseconds until `holds`, or nothing after the limit.
-inline std::optional<milliseconds> time_until(const std::function<bool()>& holds,
-                                              milliseconds limit)
-{
-    QElapsedTimer clock;
-    clock.start();
-    while (clock.elapsed() < limit.count()) {
-        if (holds()) {
-            return milliseconds(clock.elapsed());
-        }
-        QThread::msleep(10);
-    }
-    return std::nullopt;
-}
-
 /// Text of the first cell, or the problem's code.
 inline std::string first_cell(const caller_answer& answer)
 {
