--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -10,8 +10,11 @@
 #include "base/event_log.h"
 #include "entry/entry_service.h"
 #include "operators/control_api.h"
+#include "platform/control_interface.h"
+#include "platform/platform_client.h"
 
 DEFINE_string(settings, "", "settings file in YAML");
+DEFINE_string(secrets, "", "folder of the secret files that the settings name");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace {
@@ -38,7 +41,7 @@
 /// Reads the settings again. What can only be read at the start stays as it was.
 void reload(const std::string& file)
 {
-    const auto settings = read_settings(file);
+    const auto settings = read_settings(file, FLAGS_secrets);
     if (const auto* problems = std::get_if<settings_problems>(&settings)) {
         for (const std::string& it : problems->lines) {
             log_event(event_id::settings_refused, {{"problem", it}});
@@ -53,7 +56,12 @@
     fleet_node fleet({.listen = settings.common.fleet_listen,
                       .advertised = settings.common.fleet_advertised,
                       .secret = settings.common.fleet_secret});
-    control_service control(settings.control, fleet);
+    QObject orders_owner;
+    platform_orders orders;
+    if (settings.coordination) {
+        orders = make_platform_orders(&orders_owner, settings.coordination->promotions);
+    }
+    control_service control(settings.control, fleet, std::move(orders));
     auto started = fleet.start([&](fleet_message it) { control.receive(std::move(it)); });
     if (!succeeded(started)) {
         return fail(failure_of(started));
@@ -70,6 +78,18 @@
     if (!succeeded(listening)) {
         return fail(failure_of(listening));
     }
+    std::unique_ptr<http_server> platform;
+    control_interface interface(control);
+    if (settings.coordination) {
+        platform = std::make_unique<http_server>(
+            settings.coordination->platform,
+            [&](const http_request& request, const http_responder& responder) {
+                interface.handle(request, responder);
+            });
+        if (auto res = platform->start(); !succeeded(res)) {
+            return fail(failure_of(res));
+        }
+    }
     log_event(event_id::process_started, {{"role", "control"}});
     report_ready("operators=" + to_string(value_of(listening)));
     QTimer watch;
@@ -85,6 +105,9 @@
     watch.start(tick_interval);
     QCoreApplication::exec();
     fleet.stop();
+    if (platform) {
+        platform->stop();
+    }
     operators.stop();
     log_event(event_id::process_stopped);
     return to_int(exit_code::success);
@@ -165,6 +188,67 @@
     return to_int(exit_code::success);
 }
 
+/// Takes an entry that runs statements itself from its stop request to its end.
+bool advance_stop(statement_entry& entry, const statement_entry_settings& settings,
+                  std::optional<time_point>& began, time_point now)
+{
+    if (!began) {
+        began = now;
+        log_event(event_id::process_stopping);
+        entry.begin_drain();
+    }
+    const duration elapsed = now - *began;
+    if (elapsed >= settings.transaction_limit) {
+        entry.abort_transactions();
+    }
+    if (elapsed >= settings.drain_notice) {
+        entry.end_idle_sessions();
+    }
+    const bool drained = elapsed >= settings.drain_notice && entry.is_drained();
+    return drained || elapsed >= settings.drain_limit;
+}
+
+int run_statement_entry(const statement_entry_settings& settings)
+{
+    fleet_node fleet({.listen = settings.common.fleet_listen,
+                      .advertised = settings.common.fleet_advertised,
+                      .secret = settings.common.fleet_secret});
+    std::atomic<statement_entry*> receiver = nullptr;
+    auto listening = fleet.start([&](fleet_message it) {
+        if (statement_entry* const to = receiver.load()) {
+            to->receive(std::move(it));
+        }
+    });
+    if (!succeeded(listening)) {
+        return fail(failure_of(listening));
+    }
+    statement_entry entry(settings.entry, fleet);
+    auto started = entry.start();
+    if (!succeeded(started)) {
+        return fail(failure_of(started));
+    }
+    receiver = &entry;
+    log_event(event_id::process_started, {{"role", "statement_entry"}});
+    report_ready("callers=" + to_string(value_of(started)));
+    std::optional<time_point> stop_began;
+    QTimer watch;
+    QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
+        if (take_reload_request()) {
+            reload(FLAGS_settings);
+        }
+        if (stop_requested() && advance_stop(entry, settings, stop_began, monotonic_clock::now())) {
+            QCoreApplication::quit();
+        }
+    });
+    watch.start(tick_interval);
+    QCoreApplication::exec();
+    entry.stop();
+    receiver = nullptr;
+    fleet.stop();
+    log_event(event_id::process_stopped);
+    return to_int(exit_code::success);
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -180,7 +264,7 @@
         std::fprintf(stderr, "usage: balsamdrift --settings FILE [--check]\n");
         return to_int(exit_code::usage);
     }
-    const auto settings = read_settings(FLAGS_settings);
+    const auto settings = read_settings(FLAGS_settings, FLAGS_secrets);
     if (const auto* problems = std::get_if<settings_problems>(&settings)) {
         for (const std::string& it : problems->lines) {
             std::fprintf(stderr, "%s\n", it.c_str());
@@ -204,6 +288,10 @@
                 open_event_log({.process = it.common.name, .file = it.common.log_file});
                 return run_entry(it);
             },
+            [](const statement_entry_settings& it) {
+                open_event_log({.process = it.common.name, .file = it.common.log_file});
+                return run_statement_entry(it);
+            },
         },
         valid);
 }
--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t shortest_secret = 16;
 constexpr std::int64_t most_threads = 64;
+constexpr std::int64_t most_disks_lost = 4;
 constexpr std::int64_t kibibyte = 1024;
 constexpr std::int64_t mebibyte = kibibyte * kibibyte;
 constexpr std::int64_t largest_body = 64 * mebibyte;
@@ -44,7 +45,7 @@
     return slash == std::string::npos ? std::string() : file.substr(0, slash + 1);
 }
 
-common_settings read_common(settings_reader& root, const std::string& file,
+common_settings read_common(settings_reader& root, const std::string& secrets,
                             std::vector<std::string>& problems)
 {
     common_settings common;
@@ -53,9 +54,9 @@
     settings_reader fleet = root.section("fleet");
     common.fleet_listen = fleet.address("listen");
     common.fleet_advertised = fleet.text("advertised", "");
-    common.fleet_secret = read_secret(fleet, "secret_file", folder_of(file), problems);
+    common.fleet_secret = read_secret(fleet, "secret_file", secrets, problems);
     (void)fleet.finish();
-    common.operator_token = read_secret(root, "operator_token_file", folder_of(file), problems);
+    common.operator_token = read_secret(root, "operator_token_file", secrets, problems);
     return common;
 }
 
@@ -63,6 +64,9 @@
 {
     http_server_options options;
     options.listen = in.address("listen");
+    if (in.has("also_listen")) {
+        options.also_listen = in.addresses("also_listen");
+    }
     options.threads = static_cast<int>(in.number("threads", default_threads, 1, most_threads));
     options.body_limit =
         static_cast<std::size_t>(in.number("body_limit_bytes", mebibyte, kibibyte, largest_body));
@@ -74,6 +78,50 @@
     return options;
 }
 
+/// Fleet addresses on these hosts: all processes of the fleet listen on the port of this one.
+std::vector<std::string> fleet_addresses(const std::vector<endpoint>& hosts,
+                                         const endpoint& fleet_listen)
+{
+    std::vector<std::string> all;
+    all.reserve(hosts.size());
+    for (const endpoint& it : hosts) {
+        all.push_back(to_string(endpoint{it.address, fleet_listen.port}));
+    }
+    return all;
+}
+
+coordination_settings read_coordination(settings_reader in, control_options& control,
+                                        const endpoint& fleet_listen)
+{
+    coordination_settings settings;
+    settings.platform = read_server(in.section("platform"), 1);
+    settings.promotions = in.address("promotions");
+    control.disks_lost_at_once =
+        static_cast<std::size_t>(in.number("disks_lost_at_once", 1, 0, most_disks_lost));
+    control.may_form = in.flag("first_start", false);
+    control.assigns_owners = false;
+    for (const std::string& it : fleet_addresses(in.addresses("seed_hosts"), fleet_listen)) {
+        control.members.push_back({{}, it});
+    }
+    (void)in.finish();
+    return settings;
+}
+
+void check_members(const control_settings& settings, const std::string& name,
+                   std::vector<std::string>& problems)
+{
+    const std::vector<voter>& members = settings.control.members;
+    const auto count = members.size();
+    if (count != 1 && count != 3 && count != 5) {
+        problems.emplace_back("control.members: expected 1, 3 or 5 members");
+    }
+    const bool listed = std::any_of(members.begin(), members.end(),
+                                    [&](const voter& it) { return it.id.name == name; });
+    if (!listed) {
+        problems.emplace_back("control.members: expected this member's own name among them");
+    }
+}
+
 control_settings read_control(settings_reader& root, common_settings common,
                               std::vector<std::string>& problems)
 {
@@ -82,8 +130,12 @@
     control_options& control = settings.control;
     control.name = common.name;
     control.data_folder = root.text("data_folder");
-    settings_reader section = root.section("control");
-    for (settings_reader& member : section.list("members")) {
+    settings_reader section = root.section("control", !root.has("coordination"));
+    if (root.has("coordination")) {
+        settings.coordination =
+            read_coordination(root.section("coordination"), control, common.fleet_listen);
+    }
+    for (settings_reader& member : section.list_or_empty("members")) {
         voter it;
         it.id.name = member.text("name");
         it.address = to_string(member.address("address"));
@@ -97,14 +149,8 @@
     control.snapshot_log_bytes = static_cast<std::uint64_t>(
         section.number("snapshot_log_bytes", mebibyte, 4 * kibibyte, largest_body));
     (void)section.finish();
-    const auto count = control.members.size();
-    if (count != 1 && count != 3 && count != 5) {
-        problems.emplace_back("control.members: expected 1, 3 or 5 members");
-    }
-    const bool listed = std::any_of(control.members.begin(), control.members.end(),
-                                    [&](const voter& it) { return it.id.name == common.name; });
-    if (!listed) {
-        problems.emplace_back("control.members: expected this member's own name among them");
+    if (!settings.coordination) {
+        check_members(settings, common.name, problems);
     }
     if (control.election_timeout < control.heartbeat_interval * 3) {
         problems.emplace_back(
@@ -140,18 +186,48 @@
     return settings;
 }
 
+statement_entry_settings read_statement_entry(settings_reader& root, common_settings common)
+{
+    statement_entry_settings settings;
+    statement_entry_options& entry = settings.entry;
+    entry.name = common.name;
+    entry.sessions.failure_domain = root.text("failure_domain");
+    entry.sessions.regions = root.texts("regions");
+    settings_reader statements = root.section("statements");
+    entry.statements = statements.address("listen");
+    (void)statements.finish();
+    entry.readiness = read_server(root.section("readiness"), 1);
+    settings_reader control = root.section("control");
+    entry.control = fleet_addresses(control.addresses("seed_hosts"), common.fleet_listen);
+    entry.lease_renew_interval = control.span("lease_renew_interval", entry.lease_renew_interval);
+    (void)control.finish();
+    settings_reader stop = root.section("stop", false);
+    const duration grace = stop.span("grace", settings.drain_limit * 6 / 5);
+    settings.transaction_limit = grace / 2;
+    settings.drain_limit = grace * 5 / 6;
+    settings.drain_notice = std::min(settings.drain_notice, settings.transaction_limit);
+    (void)stop.finish();
+    settings.common = std::move(common);
+    return settings;
+}
+
 }  // namespace
 
-std::variant<daemon_settings, settings_problems> read_settings(const std::string& file)
+std::variant<daemon_settings, settings_problems> read_settings(const std::string& file,
+                                                               const std::string& secrets_folder)
 {
     settings_reader root = settings_reader::from_file(file);
     std::vector<std::string> problems;
     daemon_settings settings;
-    const std::string role = root.choice("role", {"entry", "control"});
-    common_settings common = read_common(root, file, problems);
+    const std::string role = root.choice("role", {"entry", "control", "statement_entry"});
+    const std::string secrets = secrets_folder.empty() ? folder_of(file) : secrets_folder + "/";
+    common_settings common = read_common(root, secrets, problems);
     if (role == "control") {
         settings = read_control(root, std::move(common), problems);
     }
+    else if (role == "statement_entry") {
+        settings = read_statement_entry(root, std::move(common));
+    }
     else {
         settings = read_entry(root, std::move(common));
     }
--- a/apps/daemon_settings.h
+++ b/apps/daemon_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "callers/http_server.h"
 #include "control/control_options.h"
 #include "entry/entry_service.h"
+#include "entry/statement_entry.h"
 
 namespace balsamdrift {
 
@@ -23,11 +25,20 @@
     std::string operator_token;
 };
 
+/// Settings of a control member that coordinates services for the platform.
+struct coordination_settings {
+    /// Where instances and operators of the platform call.
+    http_server_options platform;
+    /// Where primaries are promoted.
+    endpoint promotions;
+};
+
 /// Settings of a control member.
 struct control_settings {
     common_settings common;
     http_server_options operators;
     control_options control;
+    std::optional<coordination_settings> coordination;
 };
 
 /// Settings of an entry.
@@ -40,15 +51,29 @@
     duration drain_limit = seconds(30);
 };
 
-/// Settings of either role.
-using daemon_settings = std::variant<control_settings, entry_settings>;
+/// Settings of an entry that runs statements itself.
+struct statement_entry_settings {
+    common_settings common;
+    statement_entry_options entry;
+    /// A stop serves on for this long, so that the balancer sends new callers elsewhere.
+    duration drain_notice = milliseconds(2500);
+    /// Then sessions end as they come to rest, and after this open transactions end too.
+    duration transaction_limit = seconds(3);
+    /// A stop ends whatever is left after this.
+    duration drain_limit = seconds(5);
+};
+
+/// Settings of any role.
+using daemon_settings = std::variant<control_settings, entry_settings, statement_entry_settings>;
 
 /// Every mistake found in a settings file.
 struct settings_problems {
     std::vector<std::string> lines;
 };
 
-/// Reads and checks a settings file, and the secrets in the files that it names.
-std::variant<daemon_settings, settings_problems> read_settings(const std::string& file);
+/// Reads and checks a settings file, and the secrets in the files that it names. Their paths are
+/// relative to `secrets_folder`, or to the settings file if that is empty.
+std::variant<daemon_settings, settings_problems> read_settings(const std::string& file,
+                                                               const std::string& secrets_folder);
 
 }  // namespace balsamdrift
--- a/base/codec.h
+++ b/base/codec.h
@@ -8,6 +8,38 @@
 #include <variant>
 
 #include "base/outcome.h"
+#include "base/time.h"
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor {
+
+    /// Reads a span as a whole number of milliseconds.
+    template<>
+    struct convert<std::chrono::milliseconds> {
+        const msgpack::object& operator()(const msgpack::object& from,
+                                          std::chrono::milliseconds& span) const
+        {
+            span = std::chrono::milliseconds(from.as<std::int64_t>());
+            return from;
+        }
+    };
+
+    /// Writes a span as a whole number of milliseconds.
+    template<>
+    struct pack<std::chrono::milliseconds> {
+        template<class Stream>
+        packer<Stream>& operator()(msgpack::packer<Stream>& out,
+                                   const std::chrono::milliseconds& span) const
+        {
+            return out.pack(static_cast<std::int64_t>(span.count()));
+        }
+    };
+
+    }  // namespace adaptor
+}
+}  // namespace msgpack
 
 namespace balsamdrift {
 
--- a/base/event.h
+++ b/base/event.h
@@ -50,9 +50,23 @@
     promotion_finished = 5008,
     stale_primary_ignored = 5009,
     connection_discarded = 5010,
+    primary_phase_proposed = 5011,
+    primary_phase_entered = 5012,
+    heartbeat_rejected = 5013,
+    instance_status_failed = 5014,
+    promotion_answered = 5015,
 
     caller_request_malformed = 6001,
     transaction_expired = 6002,
+    statement_refused = 6003,
+    statement_failed = 6004,
+    statement_retried = 6005,
+    session_refused = 6006,
+    session_ended = 6007,
+    statement_served = 6008,
+
+    declared_configuration_refused = 7001,
+    declared_configuration_accepted = 7002,
 };
 
 /// Severity of an event, as it appears in the log line.
--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -31,13 +31,32 @@
     return value;
 }
 
+/// Reads a span such as 1.5s.
+outcome<duration> parse_decimal_span(const std::string& number, const std::string& suffix)
+{
+    double value = 0;
+    const char* const end = number.data() + number.size();
+    const auto [ptr, ec] = std::from_chars(number.data(), end, value);
+    const auto unit = std::find_if(span_units.begin(), span_units.end(),
+                                   [&](const span_unit& it) { return it.suffix == suffix; });
+    if (ec != std::errc{} || ptr != end || unit == span_units.end()) {
+        return failure{"a span with its unit, such as 250ms, 1.5s, 1m or 1h"};
+    }
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(unit->one) * value);
+}
+
 outcome<duration> parse_span(const std::string& text)
 {
-    const auto digits = text.find_first_not_of("0123456789");
+    const auto digits = text.find_first_not_of("0123456789.");
     if (digits == std::string::npos || digits == 0) {
         return failure{"a span with its unit, such as 250ms, 2s, 1m or 1h"};
     }
-    auto amount = parse_number(text.substr(0, digits));
+    const std::string number = text.substr(0, digits);
+    if (number.find('.') != std::string::npos) {
+        return parse_decimal_span(number, text.substr(digits));
+    }
+    auto amount = parse_number(number);
     const std::string_view suffix = std::string_view(text).substr(digits);
     const auto unit = std::find_if(span_units.begin(), span_units.end(),
                                    [&](const span_unit& it) { return it.suffix == suffix; });
@@ -246,6 +265,42 @@
     return points;
 }
 
+std::map<std::string, std::string> settings_reader::texts(const std::string& key)
+{
+    std::map<std::string, std::string> all;
+    const YAML::Node value = take(key, false);
+    if (!value.IsDefined()) {
+        return all;
+    }
+    if (!value.IsMap()) {
+        report_problem(value, key, "a mapping of names to texts");
+        return all;
+    }
+    for (const auto& item : value) {
+        if (item.first.IsScalar() && item.second.IsScalar()) {
+            all[item.first.Scalar()] = item.second.Scalar();
+        }
+        else {
+            report_problem(value, key, "a mapping of names to texts");
+        }
+    }
+    return all;
+}
+
+bool settings_reader::flag(const std::string& key, bool otherwise)
+{
+    const YAML::Node value = take(key, false);
+    if (!value.IsDefined()) {
+        return otherwise;
+    }
+    const bool scalar = value.IsScalar();
+    if (!scalar || (value.Scalar() != "true" && value.Scalar() != "false")) {
+        report_problem(value, key, "true or false");
+        return otherwise;
+    }
+    return value.Scalar() == "true";
+}
+
 std::vector<std::string> settings_reader::finish()
 {
     for (const auto& item : node_) {
--- a/base/settings_reader.h
+++ b/base/settings_reader.h
@@ -3,6 +3,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -30,6 +31,9 @@
     /// Same, but the key may be absent.
     std::vector<settings_reader> list_or_empty(const std::string& key);
 
+    /// True when the key is there.
+    bool has(const std::string& key) const { return node_[key].IsDefined(); }
+
     /// Text. Without a default the key is required.
     std::string text(const std::string& key);
     std::string text(const std::string& key, const std::string& otherwise);
@@ -50,6 +54,12 @@
     /// A sequence of `address:port`.
     std::vector<endpoint> addresses(const std::string& key);
 
+    /// A mapping of names to texts; empty if the key is absent.
+    std::map<std::string, std::string> texts(const std::string& key);
+
+    /// True or false.
+    bool flag(const std::string& key, bool otherwise);
+
     /// Reports keys of this mapping that were never read, then gives all problems found so far in
     /// this reader and those below it.
     std::vector<std::string> finish();
--- a/base/time.h
+++ b/base/time.h
@@ -1,11 +1,27 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace balsamdrift {
 
-/// Monotonic clock that every decision is measured with. Wall clocks only label events.
-using monotonic_clock = std::chrono::steady_clock;
+/// Monotonic clock that every decision is measured with. It goes on while the VM is suspended, so a
+/// lease that ran out during a suspension is seen to have run out. Wall clocks only label events.
+struct monotonic_clock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        timespec ts{};
+        ::clock_gettime(CLOCK_BOOTTIME, &ts);
+        return time_point(std::chrono::seconds(ts.tv_sec) + std::chrono::nanoseconds(ts.tv_nsec));
+    }
+};
 
 /// A point on the monotonic clock of one process. Never compared between processes.
 using time_point = monotonic_clock::time_point;
--- a/callers/http_server.cpp
+++ b/callers/http_server.cpp
@@ -39,13 +39,14 @@
     http_server_options options;
     http_handler handler;
     http_server_counters counters;
-    std::unique_ptr<descriptor_server> listener;
+    std::vector<std::unique_ptr<descriptor_server>> listeners;
     std::vector<std::unique_ptr<worker>> workers;
     std::size_t next_worker = 0;
 
     void start_worker();
     void on_first_worker(const std::function<void()>& fn);
-    outcome<endpoint> listen();
+    outcome<endpoint> listen_all();
+    outcome<endpoint> listen(const endpoint& address);
     void hand_over(qintptr descriptor);
 };
 
@@ -79,18 +80,31 @@
     }
 }
 
-outcome<endpoint> http_server::implementation::listen()
+outcome<endpoint> http_server::implementation::listen_all()
 {
-    listener =
+    for (const endpoint& it : options.also_listen) {
+        if (auto res = listen(it); !succeeded(res)) {
+            return res;
+        }
+    }
+    auto res = listen(options.listen);
+    if (succeeded(res)) {
+        options.listen = value_of(res);
+    }
+    return res;
+}
+
+outcome<endpoint> http_server::implementation::listen(const endpoint& address)
+{
+    auto listener =
         std::make_unique<descriptor_server>([this](qintptr descriptor) { hand_over(descriptor); });
     listener->setListenBacklogSize(accept_backlog);
-    const QHostAddress address(QString::fromStdString(options.listen.address));
-    if (!listener->listen(address, options.listen.port)) {
-        return failure{"cannot listen on " + to_string(options.listen) + ": " +
+    if (!listener->listen(QHostAddress(QString::fromStdString(address.address)), address.port)) {
+        return failure{"cannot listen on " + to_string(address) + ": " +
                        listener->errorString().toStdString()};
     }
-    options.listen.port = listener->serverPort();
-    return options.listen;
+    listeners.push_back(std::move(listener));
+    return endpoint{address.address, listeners.back()->serverPort()};
 }
 
 void http_server::implementation::hand_over(qintptr descriptor)
@@ -118,19 +132,19 @@
     }
     // The first worker accepts and hands connections out to all of them.
     outcome<endpoint> res = failure{};
-    impl_->on_first_worker([&] { res = impl_->listen(); });
+    impl_->on_first_worker([&] { res = impl_->listen_all(); });
     return res;
 }
 
 void http_server::drain()
 {
     impl_->counters.draining = true;
-    impl_->on_first_worker([&] { impl_->listener.reset(); });
+    impl_->on_first_worker([&] { impl_->listeners.clear(); });
 }
 
 void http_server::stop()
 {
-    impl_->on_first_worker([&] { impl_->listener.reset(); });
+    impl_->on_first_worker([&] { impl_->listeners.clear(); });
     for (const auto& it : impl_->workers) {
         QObject* const loop = it->loop;
         QMetaObject::invokeMethod(
--- a/callers/http_server.h
+++ b/callers/http_server.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "base/endpoint.h"
 #include "base/outcome.h"
@@ -13,6 +14,8 @@
 /// Settings of an HTTP server.
 struct http_server_options {
     endpoint listen;
+    /// Further addresses that the same handler serves.
+    std::vector<endpoint> also_listen;
     /// Threads that serve connections, each with its own event loop.
     int threads = 1;
     std::size_t body_limit = std::size_t{1024} * 1024;
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -20,6 +20,12 @@
     duration election_jitter = milliseconds(400);
     /// How long an entry serves after it asked for its lease.
     duration lease_duration = seconds(2);
+    /// False where entries run statements themselves: nothing is owned by a single entry then.
+    bool assigns_owners = true;
+    /// Disks that may be lost at once: an acknowledged change is on one more.
+    std::size_t disks_lost_at_once = 0;
+    /// False when the settings say that other members hold data already.
+    bool may_form = true;
     /// A snapshot replaces the log when the log file is larger than this.
     std::uint64_t snapshot_log_bytes = std::uint64_t{1024} * 1024;
 };
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -22,6 +22,15 @@
 constexpr seconds reopen_interval(1);
 constexpr std::size_t most_recalls = 4;
 constexpr std::size_t kept_recent_entries = 4096;
+
+/// Recent entries are kept up to this many bytes; an entry that lags further gets a whole registry.
+constexpr std::size_t kept_recent_bytes = std::size_t{2} * 1024 * 1024;
+
+/// Callers of the operators' interface move on after a second, so they hear before it.
+constexpr milliseconds submission_patience(850);
+
+/// A submission handed to a leader that does not answer is handed over again after this.
+constexpr milliseconds submission_retry(300);
 constexpr std::size_t session_secret_bytes = 32;
 
 /// What travels on the consensus channel.
@@ -44,8 +53,11 @@
 
 }  // namespace
 
-control_service::control_service(control_options options, fleet_node& fleet)
-    : options_(std::move(options)), fleet_(fleet)
+control_service::control_service(control_options options, fleet_node& fleet, platform_orders orders)
+    : options_(std::move(options)),
+      fleet_(fleet),
+      coordinator_(orders, [this](const registry_command& it) { propose_internal(it); }),
+      coordinates_(orders.promote != nullptr)
 {
     connect(&timer_, &QTimer::timeout, this, &control_service::on_tick);
     timer_.setTimerType(Qt::PreciseTimer);
@@ -82,14 +94,18 @@
         registry_ = std::move(value_of(decoded));
     }
     recent_.clear();
-    consensus_options conf{.self = {options_.name, it.incarnation},
-                           .address = fleet_.address(),
-                           .seeds = options_.members,
-                           .heartbeat_interval = options_.heartbeat_interval,
-                           .election_timeout = options_.election_timeout,
-                           .election_jitter = options_.election_jitter,
-                           .may_form = it.may_form,
-                           .random_seed = random_identity()};
+    recent_bytes_ = 0;
+    consensus_options conf{
+        .self = {options_.name, it.incarnation},
+        .address = fleet_.address(),
+        .seeds = options_.members,
+        .most_voters = std::max(options_.disks_lost_at_once * 2 + 1, options_.members.size()),
+        .commit_copies = options_.disks_lost_at_once + 1,
+        .heartbeat_interval = options_.heartbeat_interval,
+        .election_timeout = options_.election_timeout,
+        .election_jitter = options_.election_jitter,
+        .may_form = it.may_form && options_.may_form,
+        .random_seed = random_identity()};
     consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
     return std::monostate{};
 }
@@ -121,8 +137,8 @@
     }
     auto decoded = decode_variant<consensus_message>(value_of(frame).message);
     if (succeeded(decoded)) {
-        run_step(
-            member_message{value_of(frame).from, value_of(frame).to, std::move(value_of(decoded))});
+        run_step(member_message{value_of(frame).from, value_of(frame).to,
+                                std::move(value_of(decoded)), message.sender});
     }
 }
 
@@ -156,6 +172,7 @@
                 if (succeeded(decoded)) {
                     registry_ = std::move(value_of(decoded));
                     recent_.clear();
+                    recent_bytes_ = 0;
                 }
                 log_event(event_id::snapshot_installed,
                           {{"index", std::to_string(it.snapshot.index)}});
@@ -170,6 +187,7 @@
                 log_event(it.leads ? event_id::leader_elected : event_id::leadership_lost,
                           {{"term", std::to_string(it.term)}});
                 leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
+                coordinator_.begin(leases_.leading_since, it.term);
                 if (!it.leads) {
                     fail_proposals();
                 }
@@ -204,10 +222,7 @@
         }
         registry_.index = it.index;
         answers.push_back(std::move(result));
-        recent_.push_back(it);
-        if (recent_.size() > kept_recent_entries) {
-            recent_.pop_front();
-        }
+        remember_recent(it);
     }
     push_configuration();
     // Whoever gets an answer finds it in the status as well.
@@ -217,6 +232,17 @@
     }
 }
 
+void control_service::remember_recent(const log_entry& entry)
+{
+    recent_.push_back(entry);
+    recent_bytes_ += entry.data.size();
+    while (recent_.size() > kept_recent_entries ||
+           (recent_bytes_ > kept_recent_bytes && recent_.size() > 1)) {
+        recent_bytes_ -= recent_.front().data.size();
+        recent_.pop_front();
+    }
+}
+
 void control_service::resolve(std::uint64_t index, std::uint64_t term, const change_result& result)
 {
     const auto [first, last] = waiting_.equal_range(index);
@@ -322,9 +348,18 @@
         }
         return;
     }
-    grant(leases_, id, {.address = sender, .index = it.index, .draining = it.draining},
+    grant(leases_, id,
+          {.address = sender,
+           .index = it.index,
+           .draining = it.draining,
+           .settled_index = it.report.settled_index},
           options_.lease_duration, now);
-    fleet_.send(sender, fleet_channel::lease, encode_variant(lease_message(make_grant(it))));
+    lease_grant answer = make_grant(it);
+    if (coordinates_) {
+        answer.instructions = coordinator_.instruct(make_coordinator_view(), id, it.report, now);
+        answer.instructions.control = member_addresses();
+    }
+    fleet_.send(sender, fleet_channel::lease, encode_variant(lease_message(answer)));
 }
 
 lease_grant control_service::make_grant(const lease_request& it) const
@@ -353,14 +388,19 @@
     if (!consensus_ || !holds_leadership(*consensus_, monotonic_clock::now())) {
         return;
     }
+    const bool directory_changed = pushed_directory_ != coordinator_.directory_version();
+    pushed_directory_ = coordinator_.directory_version();
     for (const auto& [id, lease] : leases_.leases) {
-        if (lease.index >= registry_.index) {
+        if (lease.index >= registry_.index && !directory_changed) {
             continue;
         }
         lease_request behind{.index = lease.index};
         behind.record.incarnation = id.incarnation;
         lease_grant update = make_grant(behind);
         update.lease_ms = 0;
+        if (directory_changed) {
+            coordinator_.fill_directory(update.instructions, 0);
+        }
         fleet_.send(lease.address, fleet_channel::lease, encode_variant(lease_message(update)));
     }
 }
@@ -381,6 +421,181 @@
 
 void control_service::handle(const lease_grant&, const std::string&) {}
 
+void control_service::handle(const relayed_heartbeat& it, const std::string&)
+{
+    if (holds_leadership(*consensus_, monotonic_clock::now())) {
+        coordinator_.note(it.heartbeat, monotonic_clock::now());
+    }
+}
+
+void control_service::handle(const relayed_goodbye& it, const std::string&)
+{
+    if (holds_leadership(*consensus_, monotonic_clock::now())) {
+        coordinator_.remove(it.instance);
+    }
+}
+
+void control_service::handle(const relayed_command& it, const std::string& sender)
+{
+    if (!holds_leadership(*consensus_, monotonic_clock::now())) {
+        return;
+    }
+    serve_submission(
+        it.command, [this, id = it.id, sender](bool settled, const std::string& document) {
+            fleet_.send(sender, fleet_channel::lease,
+                        encode_variant(lease_message(relayed_answer{id, settled, document})));
+        });
+}
+
+void control_service::handle(const relayed_answer& it, const std::string&)
+{
+    if (it.settled) {
+        settle_submission(it.id, true, it.document);
+    }
+}
+
+void control_service::note_heartbeat(const instance_heartbeat& it)
+{
+    QMetaObject::invokeMethod(
+        this,
+        [this, it] {
+            const time_point now = monotonic_clock::now();
+            if (!consensus_) {
+                return;
+            }
+            if (holds_leadership(*consensus_, now)) {
+                coordinator_.note(it, now);
+            }
+            else if (const std::string leader = leader_address(); !leader.empty()) {
+                fleet_.send(leader, fleet_channel::lease,
+                            encode_variant(lease_message(relayed_heartbeat{it})));
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+void control_service::note_goodbye(const std::string& instance)
+{
+    QMetaObject::invokeMethod(
+        this,
+        [this, instance] {
+            coordinator_.remove(instance);
+            const std::string leader = leader_address();
+            if (!leader.empty() && leader != fleet_.address()) {
+                fleet_.send(leader, fleet_channel::lease,
+                            encode_variant(lease_message(relayed_goodbye{instance})));
+            }
+        },
+        Qt::QueuedConnection);
+}
+
+void control_service::submit(const registry_command& command, submit_handler on_done)
+{
+    add_submission(encode_variant(command), std::move(on_done));
+}
+
+void control_service::read_declared(submit_handler on_done)
+{
+    add_submission({}, std::move(on_done));
+}
+
+void control_service::add_submission(std::string command, submit_handler on_done)
+{
+    QMetaObject::invokeMethod(
+        this,
+        [this, command = std::move(command), on_done = std::move(on_done)] {
+            const time_point now = monotonic_clock::now();
+            const std::uint64_t id = next_submission_++;
+            submission& it = submissions_
+                                 .emplace(id, submission{.command = command,
+                                                         .on_done = on_done,
+                                                         .give_up_at = now + submission_patience})
+                                 .first->second;
+            forward_submission(id, it, now);
+        },
+        Qt::QueuedConnection);
+}
+
+void control_service::forward_submission(std::uint64_t id, submission& it, time_point now)
+{
+    if (!consensus_) {
+        return;
+    }
+    if (holds_leadership(*consensus_, now)) {
+        it.sent_at = now;
+        serve_submission(it.command, [this, id](bool settled, const std::string& document) {
+            if (settled) {
+                settle_submission(id, true, document);
+            }
+        });
+        return;
+    }
+    const std::string leader = leader_address();
+    if (!leader.empty() && leader != fleet_.address()) {
+        it.sent_at = now;
+        fleet_.send(leader, fleet_channel::lease,
+                    encode_variant(lease_message(relayed_command{id, it.command})));
+    }
+}
+
+void control_service::settle_submission(std::uint64_t id, bool settled, const std::string& document)
+{
+    const auto found = submissions_.find(id);
+    if (found == submissions_.end()) {
+        return;
+    }
+    const submit_handler on_done = std::move(found->second.on_done);
+    submissions_.erase(found);
+    on_done(settled, document);
+}
+
+void control_service::serve_submission(const std::string& command, submit_handler on_done)
+{
+    if (command.empty()) {
+        on_done(true, registry_.declared.document);
+        return;
+    }
+    queued_.push_back({command, [on_done = std::move(on_done)](const proposal_outcome& res) {
+                           on_done(std::holds_alternative<change_result>(res), {});
+                       }});
+    flush_proposals();
+}
+
+void control_service::check_submissions(time_point now)
+{
+    std::vector<std::uint64_t> overdue;
+    for (auto& [id, it] : submissions_) {
+        if (now >= it.give_up_at) {
+            overdue.push_back(id);
+        }
+        else if (!it.sent_at || now - *it.sent_at >= submission_retry) {
+            forward_submission(id, it, now);
+        }
+    }
+    for (const std::uint64_t id : overdue) {
+        settle_submission(id, false, {});
+    }
+}
+
+coordinator_view control_service::make_coordinator_view() const
+{
+    return {.state = registry_,
+            .leases = leases_,
+            .entries = registered_entries(),
+            .lease = options_.lease_duration,
+            .holder = options_.name,
+            .term = consensus_->term};
+}
+
+std::vector<std::string> control_service::member_addresses() const
+{
+    std::vector<std::string> all;
+    for (const voter& it : consensus_->members.voters) {
+        all.push_back(it.address);
+    }
+    return all;
+}
+
 void control_service::handle(const not_leader&, const std::string&) {}
 
 std::vector<replica_id> control_service::registered_entries() const
@@ -439,6 +654,12 @@
         return;
     }
     finish_preset_switch(now);
+    if (coordinates_) {
+        coordinator_.advance_services(make_coordinator_view(), now);
+        if (pushed_directory_ != coordinator_.directory_version()) {
+            push_configuration();
+        }
+    }
     if (now < assign_at_) {
         return;
     }
@@ -447,7 +668,9 @@
         propose_internal(set_session_secret{random_secret()});
     }
     expire_entries(now);
-    assign_owners(now);
+    if (options_.assigns_owners) {
+        assign_owners(now);
+    }
 }
 
 void control_service::compact_log()
@@ -461,6 +684,7 @@
 
 void control_service::on_tick()
 {
+    check_submissions(monotonic_clock::now());
     if (!consensus_) {
         if (monotonic_clock::now() >= reopen_at_) {
             reopen_at_ = monotonic_clock::now() + reopen_interval;
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -12,6 +12,7 @@
 #include "control/control_options.h"
 #include "control/lease_table.h"
 #include "control/log_storage.h"
+#include "control/service_coordinator.h"
 #include "core/consensus/consensus.h"
 #include "core/registry/registry.h"
 #include "fleet/fleet_node.h"
@@ -49,7 +50,11 @@
 public:
     using proposal_handler = std::function<void(proposal_outcome)>;
 
-    control_service(control_options options, fleet_node& fleet);
+    /// Hears whether a submission was settled, and the document if one was asked for.
+    using submit_handler = std::function<void(bool settled, const std::string& document)>;
+
+    /// `orders` reaches the instances and the platform; without it no service is coordinated.
+    control_service(control_options options, fleet_node& fleet, platform_orders orders = {});
     ~control_service() override;
 
     /// Opens the data folder and begins to take part.
@@ -61,6 +66,21 @@
     /// Proposes a command; answers once it is committed or known not to be. Safe from any thread.
     void propose(const registry_command& command, proposal_handler on_done);
 
+    /// Has a command committed by whichever member leads. `on_done` hears whether it certainly was;
+    /// otherwise the caller may send the same again. Only for commands that are idempotent. Safe
+    /// from any thread.
+    void submit(const registry_command& command, submit_handler on_done);
+
+    /// Reads the declared configuration from a leader that has just proved itself. Safe from any
+    /// thread.
+    void read_declared(submit_handler on_done);
+
+    /// Notes a heartbeat, or passes it on to the leader. Safe from any thread.
+    void note_heartbeat(const instance_heartbeat& it);
+
+    /// Drops an instance that said goodbye from the directory. Safe from any thread.
+    void note_goodbye(const std::string& instance);
+
     /// A consistent view for operators. Safe from any thread.
     control_status status() const;
 
@@ -74,6 +94,16 @@
         proposal_handler on_done;
     };
 
+    /// A submission that waits for a leader or for its answer.
+    struct submission {
+        /// Encoded registry_command; empty to read the declared configuration.
+        std::string command;
+        submit_handler on_done;
+        time_point give_up_at{};
+        /// When it was last handed to a leader, if it was.
+        std::optional<time_point> sent_at;
+    };
+
     outcome<std::monostate> open_storage();
     void on_tick();
     void on_message(const fleet_message& message);
@@ -91,6 +121,18 @@
     void handle(const lease_return& it, const std::string& sender);
     void handle(const lease_grant& it, const std::string& sender);
     void handle(const not_leader& it, const std::string& sender);
+    void handle(const relayed_heartbeat& it, const std::string& sender);
+    void handle(const relayed_command& it, const std::string& sender);
+    void handle(const relayed_answer& it, const std::string& sender);
+    void handle(const relayed_goodbye& it, const std::string& sender);
+    void add_submission(std::string command, submit_handler on_done);
+    void forward_submission(std::uint64_t id, submission& it, time_point now);
+    void settle_submission(std::uint64_t id, bool settled, const std::string& document);
+    void serve_submission(const std::string& command, submit_handler on_done);
+    void check_submissions(time_point now);
+    coordinator_view make_coordinator_view() const;
+    void remember_recent(const log_entry& entry);
+    std::vector<std::string> member_addresses() const;
     lease_grant make_grant(const lease_request& it) const;
     void push_configuration();
     void lead();
@@ -110,7 +152,15 @@
     registry registry_;
     /// Recent log entries, so that an entry that lags a little needs no whole registry.
     std::deque<log_entry> recent_;
+    /// Bytes of data in the recent entries.
+    std::size_t recent_bytes_ = 0;
     lease_table leases_;
+    service_coordinator coordinator_;
+    bool coordinates_ = false;
+    std::map<std::uint64_t, submission> submissions_;
+    std::uint64_t next_submission_ = 1;
+    /// Directory that all entries were last told about.
+    std::uint64_t pushed_directory_ = 0;
     std::vector<queued_proposal> queued_;
     std::multimap<std::uint64_t, waiting_proposal> waiting_;
     bool flush_scheduled_ = false;
--- a/control/lease_table.cpp
+++ b/control/lease_table.cpp
@@ -28,6 +28,7 @@
     it.ends_at = now + with_drift(lease);
     it.index = std::max(it.index, confirmed.index);
     it.draining = confirmed.draining;
+    it.settled_index = std::max(it.settled_index, confirmed.settled_index);
 }
 
 std::set<replica_id> live_entries(const lease_table& table, time_point now)
@@ -64,4 +65,14 @@
     });
 }
 
+bool all_settled(const lease_table& table, const std::vector<replica_id>& registered,
+                 std::uint64_t index, duration lease, time_point now)
+{
+    return std::all_of(registered.begin(), registered.end(), [&](const replica_id& it) {
+        const auto found = table.leases.find(it);
+        const bool settled = found != table.leases.end() && found->second.settled_index >= index;
+        return settled || may_serve_until(table, it, lease) <= now;
+    });
+}
+
 }  // namespace balsamdrift
--- a/control/lease_table.h
+++ b/control/lease_table.h
@@ -20,6 +20,8 @@
     std::uint64_t index = 0;
     /// True when the entry stops and must not get new items.
     bool draining = false;
+    /// No statement runs on the entry under a record of a primary older than this index.
+    std::uint64_t settled_index = 0;
 };
 
 /// The leases that a leader granted. A new leader knows none and waits a whole lease before it
@@ -46,4 +48,8 @@
 bool all_confirmed(const lease_table& table, const std::vector<replica_id>& registered,
                    std::uint64_t index, duration lease, time_point now);
 
+/// True when no process that may still serve runs work under records older than the index.
+bool all_settled(const lease_table& table, const std::vector<replica_id>& registered,
+                 std::uint64_t index, duration lease, time_point now);
+
 }  // namespace balsamdrift
--- /dev/null
+++ b/control/service_coordinator.cpp
@@ -0,0 +1,208 @@
+#include "control/service_coordinator.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace balsamdrift {
+namespace {
+
+/// The upper bits of a directory's version are the leader's term, so that versions of different
+/// leaders differ.
+constexpr unsigned term_shift = 32;
+
+const char* phase_name(primary_phase phase)
+{
+    switch (phase) {
+        case primary_phase::serving: return "serving";
+        case primary_phase::suspended: return "suspended";
+        case primary_phase::chosen: return "chosen";
+    }
+    return "";
+}
+
+std::string milliseconds_text(duration span)
+{
+    return std::to_string(to_milliseconds(span).count());
+}
+
+}  // namespace
+
+service_coordinator::service_coordinator(platform_orders orders, proposer propose)
+    : orders_(std::move(orders)), propose_(std::move(propose))
+{
+}
+
+void service_coordinator::begin(time_point now, std::uint64_t term)
+{
+    directory_ = {};
+    changes_.clear();
+    allotments_ = {.entries = {}, .began_at = now};
+    term_ = term;
+}
+
+std::uint64_t service_coordinator::directory_version() const
+{
+    return (term_ << term_shift) + directory_.version;
+}
+
+void service_coordinator::note(const instance_heartbeat& it, time_point now)
+{
+    const std::uint64_t version = directory_.version;
+    const bool known = directory_.instances.contains(it.instance);
+    const heartbeat_result result = note_heartbeat(directory_, it, now);
+    if (result == heartbeat_result::taken && directory_.version != version) {
+        log_event(event_id::instance_announced, {{"instance", it.instance},
+                                                 {"service", it.service},
+                                                 {"address", it.address},
+                                                 {"role", it.says_primary ? "primary" : "replica"},
+                                                 {"leaving", it.leaving ? "yes" : "no"},
+                                                 {"born", std::to_string(it.born_ms)},
+                                                 {"sequence", std::to_string(it.sequence)},
+                                                 {"known", known ? "yes" : "no"}});
+    }
+}
+
+void service_coordinator::remove(const std::string& instance)
+{
+    remove_instance(directory_, instance);
+}
+
+const instance_heartbeat* service_coordinator::find(const std::string& instance) const
+{
+    const auto it = directory_.instances.find(instance);
+    return it == directory_.instances.end() ? nullptr : &it->second.said;
+}
+
+void service_coordinator::fill_directory(entry_instructions& answer,
+                                         std::uint64_t known_version) const
+{
+    answer.directory_version = directory_version();
+    // A leader that has heard nobody yet knows less than the entries do.
+    answer.has_directory =
+        !directory_.instances.empty() && known_version != answer.directory_version;
+    if (answer.has_directory) {
+        answer.instances = list_instances(directory_);
+    }
+}
+
+entry_instructions service_coordinator::instruct(const coordinator_view& view,
+                                                 const replica_id& entry,
+                                                 const entry_report& report, time_point now)
+{
+    for (const primary_evidence& it : report.primaries) {
+        const auto record = view.state.primaries.find(it.service);
+        if (record != view.state.primaries.end()) {
+            const auto served =
+                it.served_ago.count() < 0 ? std::nullopt : std::optional<duration>(it.served_ago);
+            note_entry_report(changes_[it.service], record->second, it.instance, it.failing, served,
+                              now);
+        }
+    }
+    std::map<std::string, double> rates;
+    for (const auto& [name, customer] : view.state.declared.customers) {
+        rates[name] = customer.rate;
+    }
+    entry_instructions answer;
+    answer.entry_count = static_cast<std::uint32_t>(view.state.entries.size());
+    answer.shares = grant_shares(allotments_, {},
+                                 {.entry = entry.name,
+                                  .incarnation = entry.incarnation,
+                                  .demand = report.demand,
+                                  .held = report.held,
+                                  .grant_number = report.grant_number},
+                                 rates, view.state.entries.size(), now);
+    answer.grant_number = allotments_.entries.at(entry.name).grant_number;
+    fill_directory(answer, report.directory_version);
+    return answer;
+}
+
+void service_coordinator::advance_services(const coordinator_view& view, time_point now)
+{
+    drop_silent(directory_, {}, now);
+    for (const auto& [name, declared] : view.state.declared.services) {
+        advance_service(view, name, declared, now);
+    }
+}
+
+void service_coordinator::advance_service(const coordinator_view& view, const std::string& service,
+                                          const declared_service& declared, time_point now)
+{
+    primary_change_view seen{.service = service,
+                             .synchronous_replicas = declared.synchronous_replicas};
+    const auto record = view.state.primaries.find(service);
+    if (record != view.state.primaries.end()) {
+        seen.record = record->second;
+    }
+    for (const auto& [name, it] : directory_.instances) {
+        if (it.said.service == service) {
+            seen.instances.push_back(it);
+            seen.instances.back().said.leaving =
+                it.said.leaving || is_leaving(view.state, name, it.said.born_ms);
+        }
+    }
+    seen.entries_settled =
+        all_settled(view.leases, view.entries, seen.record.epoch, view.lease, now);
+    for (const primary_action& it : advance(changes_[service], seen, {}, now)) {
+        perform(view, service, seen.record, it);
+    }
+}
+
+void service_coordinator::perform(const coordinator_view& view, const std::string& service,
+                                  const primary_record& record, const primary_action& action)
+{
+    std::visit(
+        overloaded{
+            [&](const propose_phase& it) {
+                log_event(event_id::primary_phase_proposed,
+                          {{"service", service},
+                           {"instance", it.instance},
+                           {"phase", phase_name(it.phase)},
+                           {"planned", it.planned ? "yes" : "no"},
+                           {"previous", record.instance},
+                           {"epoch", std::to_string(record.epoch)},
+                           {"failed_probes", std::to_string(changes_[service].failed_probes)},
+                           {"vouched_ms_ago", milliseconds_text(monotonic_clock::now() -
+                                                                changes_[service].vouched_at)}});
+                propose_(change_primary{service, record.epoch, it.instance, it.phase, it.planned});
+            },
+            [&](const ask_status& it) {
+                const instance_heartbeat* const instance = find(it.instance);
+                if (instance == nullptr) {
+                    note_status(changes_[service], it.instance, std::nullopt);
+                    return;
+                }
+                const std::uint64_t epoch = changes_[service].epoch;
+                const auto on_answer = [this, service, epoch, name = it.instance](
+                                           const std::optional<instance_status>& status) {
+                    if (changes_[service].epoch == epoch) {
+                        note_status(changes_[service], name, status);
+                    }
+                };
+                orders_.ask_status(*instance, on_answer);
+            },
+            [&](const order_promotion& it) {
+                log_event(event_id::promotion_started, {{"service", service},
+                                                        {"instance", it.instance},
+                                                        {"token", std::to_string(view.term)}});
+                const std::uint64_t epoch = changes_[service].epoch;
+                orders_.promote({service, it.instance, view.holder, view.term},
+                                [this, service, epoch, name = it.instance](promotion_answer res) {
+                                    if (changes_[service].epoch == epoch) {
+                                        note_promotion(changes_[service], name, res);
+                                    }
+                                });
+            },
+            [&](const order_step_down& it) {
+                if (const instance_heartbeat* const instance = find(it.instance)) {
+                    log_event(event_id::stale_primary_ignored, {{"service", service},
+                                                                {"instance", it.instance},
+                                                                {"term", std::to_string(it.term)}});
+                    orders_.step_down(*instance, it.term);
+                }
+            },
+        },
+        action);
+}
+
+}  // namespace balsamdrift
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -48,7 +48,16 @@
             return it.address;
         }
     }
-    return {};
+    const auto heard = state.addresses.find(id.name);
+    return heard == state.addresses.end() ? std::string() : heard->second;
+}
+
+std::string leader_address(const consensus_state& state)
+{
+    if (state.role == consensus_role::leader) {
+        return state.options.address;
+    }
+    return state.leader ? address_of(state, *state.leader) : std::string();
 }
 
 void reply(const consensus_state& state, actions& out, const replica_id& to,
@@ -147,7 +156,14 @@
     out.push_back(std::move(batch));
 }
 
-/// The highest index that a quorum of the membership in use has saved.
+/// Voters that must have saved an entry before it is committed.
+std::size_t commit_quorum(const consensus_state& state)
+{
+    const std::size_t copies = std::min(state.options.commit_copies, state.members.voters.size());
+    return std::max(quorum_size(state.members), copies);
+}
+
+/// The highest index that enough voters of the membership in use have saved.
 std::uint64_t quorum_match(const consensus_state& state)
 {
     const membership& members = state.members;
@@ -161,7 +177,7 @@
         matches.push_back(found == state.progress.end() ? 0 : found->second.match_index);
     }
     std::sort(matches.begin(), matches.end(), std::greater<>());
-    return matches[quorum_size(members) - 1];
+    return matches[commit_quorum(state) - 1];
 }
 
 void advance_commit(consensus_state& state, actions& out)
@@ -196,6 +212,23 @@
     replicate_to_all(state, out, now);
 }
 
+/// A voter that has been silent for too long to be waited for, or null.
+const voter* find_lost_voter(const consensus_state& state, time_point now)
+{
+    const duration patience = state.options.replace_after;
+    for (const voter& it : state.members.voters) {
+        const auto found = state.progress.find(it.id);
+        if (it.id == state.options.self || found == state.progress.end()) {
+            continue;
+        }
+        const time_point heard = std::max(found->second.confirmed_at, state.leads_since);
+        if (now - heard > patience) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
 /// Moves one joining member that is up to date a single step towards voting: first its lost
 /// incarnation is removed, then the new one is added. Two steps keep every old quorum in touch with
 /// every new one.
@@ -208,7 +241,8 @@
     for (const auto& entry : state.joining) {
         const std::string name = entry.first;
         const joining_member member = entry.second;
-        if (member.progress.match_index < state.commit_index) {
+        const bool answers = now - member.progress.confirmed_at < state.options.replace_after;
+        if (member.progress.match_index < state.commit_index || !answers) {
             continue;
         }
         membership members = state.members;
@@ -217,6 +251,16 @@
             propose_membership(state, out, members, now);
             return;
         }
+        if (members.voters.size() >= state.options.most_voters) {
+            const voter* const lost = find_lost_voter(state, now);
+            if (lost == nullptr) {
+                continue;
+            }
+            const replica_id gone = lost->id;
+            std::erase_if(members.voters, [&](const voter& it) { return it.id == gone; });
+            propose_membership(state, out, members, now);
+            return;
+        }
         members.voters.push_back(member.identity);
         state.progress[member.identity.id] = member.progress;
         state.joining.erase(name);
@@ -229,6 +273,7 @@
 {
     state.role = consensus_role::leader;
     state.leader = state.options.self;
+    state.leads_since = now;
     state.progress.clear();
     for (const voter& it : other_voters(state)) {
         state.progress[it.id] = {.next_index = last_index(state.log) + 1};
@@ -322,11 +367,17 @@
 void send_hello(consensus_state& state, actions& out, time_point now)
 {
     state.hello_at = now + state.options.heartbeat_interval;
+    const hello_request request{state.hello_nonce, state.options.address};
+    bool hint_is_seed = state.hinted_leader.empty();
     for (const voter& it : state.options.seeds) {
-        if (it.id.name != state.options.self.name) {
-            send(out, it, hello_request{state.hello_nonce, state.options.address});
+        hint_is_seed = hint_is_seed || it.address == state.hinted_leader;
+        if (it.address != state.options.address) {
+            send(out, it, request);
         }
     }
+    if (!hint_is_seed) {
+        send(out, voter{{}, state.hinted_leader}, request);
+    }
 }
 
 bool is_empty(const consensus_state& state)
@@ -337,11 +388,21 @@
 bool is_coordinator(const consensus_state& state)
 {
     const auto& seeds = state.options.seeds;
-    return std::all_of(seeds.begin(), seeds.end(),
-                       [&](const voter& it) { return state.options.self.name <= it.id.name; });
+    const std::string& own = state.options.address;
+    const bool listed =
+        std::any_of(seeds.begin(), seeds.end(), [&](const voter& it) { return it.address == own; });
+    return listed && std::all_of(seeds.begin(), seeds.end(),
+                                 [&](const voter& it) { return own <= it.address; });
 }
 
-/// The member with the lowest name forms the first membership, once every other member answered
+bool is_seed(const consensus_state& state, const std::string& address)
+{
+    const auto& seeds = state.options.seeds;
+    return std::any_of(seeds.begin(), seeds.end(),
+                       [&](const voter& it) { return it.address == address; });
+}
+
+/// The seed with the lowest address forms the first membership, once every other member answered
 /// this process that it is empty too. A single member with data prevents it for good.
 void try_formation(consensus_state& state, actions& out, time_point now)
 {
@@ -359,6 +420,11 @@
     count_votes(state, out, now);
 }
 
+bool heard_leader_recently(const consensus_state& state, time_point now)
+{
+    return now - state.leader_heard_at < state.options.election_timeout;
+}
+
 void on_tick(consensus_state& state, actions& out, time_point now)
 {
     if (state.role == consensus_role::leader) {
@@ -366,7 +432,9 @@
         return;
     }
     if (!can_campaign(state)) {
-        if (now >= state.hello_at) {
+        // A member that follows a leader without a vote is known to it already.
+        const bool follows = state.leader && heard_leader_recently(state, now);
+        if (now >= state.hello_at && !follows) {
             send_hello(state, out, now);
             try_formation(state, out, now);
         }
@@ -378,26 +446,37 @@
     }
 }
 
-void handle(consensus_state& state, actions& out, const replica_id& from, const hello_request& it,
-            time_point)
+/// Begins to bring a member without a vote up to date.
+void admit_joining(consensus_state& state, const replica_id& from, const std::string& address)
 {
-    reply(state, out, from, hello_reply{it.nonce, is_empty(state), state.options.address});
-    if (state.role != consensus_role::leader || contains(state.members, from)) {
+    if (state.role != consensus_role::leader || contains(state.members, from) || address.empty()) {
         return;
     }
     const auto found = state.joining.find(from.name);
     if (found == state.joining.end() || found->second.identity.id != from) {
-        state.joining[from.name] = {voter{from, it.address}, {}};
+        state.joining[from.name] = {voter{from, address}, {}};
     }
 }
 
+void handle(consensus_state& state, actions& out, const replica_id& from, const hello_request& it,
+            time_point)
+{
+    state.addresses[from.name] = it.address;
+    send(out, voter{from, it.address},
+         hello_reply{it.nonce, is_empty(state), state.options.address, leader_address(state)});
+    admit_joining(state, from, it.address);
+}
+
 void handle(consensus_state& state, actions& out, const replica_id& from, const hello_reply& it,
             time_point now)
 {
     if (it.nonce != state.hello_nonce) {
         return;
     }
-    if (!it.empty) {
+    if (!it.leader_address.empty()) {
+        state.hinted_leader = it.leader_address;
+    }
+    if (!it.empty || !is_seed(state, it.address)) {
         state.empty_members.erase(from.name);
         return;
     }
@@ -405,14 +484,11 @@
     try_formation(state, out, now);
 }
 
-bool heard_leader_recently(const consensus_state& state, time_point now)
-{
-    return now - state.leader_heard_at < state.options.election_timeout;
-}
-
 void handle(consensus_state& state, actions& out, const replica_id& from, const vote_request& it,
             time_point now)
 {
+    // A voter that was replaced while it was away does not know it; it follows again at first.
+    admit_joining(state, from, address_of(state, from));
     // A member that heard a leader lately, or leads, helps nobody to disturb it.
     const bool disturbs = heard_leader_recently(state, now) || state.role == consensus_role::leader;
     const bool newer_log =
@@ -579,12 +655,16 @@
 
 void on_message(consensus_state& state, actions& out, const member_message& event, time_point now)
 {
+    const bool any_name = event.to.name.empty();
     const bool any = event.to.incarnation == 0;
-    const bool meant = event.to.name == state.options.self.name &&
+    const bool meant = (any_name || event.to.name == state.options.self.name) &&
                        (any || event.to.incarnation == state.options.self.incarnation);
     if (!meant) {
         return;
     }
+    if (!event.address.empty()) {
+        state.addresses[event.from.name] = event.address;
+    }
     std::visit([&](const auto& it) { handle(state, out, event.from, it, now); }, event.message);
 }
 
--- a/core/consensus/consensus_event.h
+++ b/core/consensus/consensus_event.h
@@ -17,6 +17,8 @@
     /// Incarnation that the sender meant; zero for any.
     replica_id to;
     consensus_message message;
+    /// `address:port` that answers to the sender go to; empty when the transport does not tell.
+    std::string address;
 };
 
 /// Commands to append, in order. Ignored unless this member leads.
--- a/core/consensus/consensus_message.h
+++ b/core/consensus/consensus_message.h
@@ -68,7 +68,9 @@
     /// True when the sender has no membership and an empty log.
     bool empty = false;
     std::string address;
-    MSGPACK_DEFINE(nonce, empty, address)
+    /// Where the sender believes the leader is, so that a new member finds it through any other.
+    std::string leader_address;
+    MSGPACK_DEFINE(nonce, empty, address, leader_address)
 };
 
 /// Any message between control members.
--- a/core/consensus/consensus_state.h
+++ b/core/consensus/consensus_state.h
@@ -18,8 +18,14 @@
     replica_id self;
     /// `address:port` under which the other members reach this one.
     std::string address;
-    /// Names and addresses of all members that the settings list, this one included.
+    /// The members that the settings list. Names may be empty where only addresses are known.
     std::vector<voter> seeds;
+    /// Voters at most; further members follow without a vote and replace a voter that is lost.
+    std::size_t most_voters = 5;
+    /// An entry is committed once at least this many voters saved it, if there are that many.
+    std::size_t commit_copies = 1;
+    /// A voter that answered nothing for this long gives its place to a member that waits for one.
+    duration replace_after = milliseconds(2000);
     duration heartbeat_interval = milliseconds(100);
     /// A member that heard no leader for this long may ask for votes, and gives none before.
     duration election_timeout = milliseconds(600);
@@ -76,6 +82,12 @@
     std::set<std::string> votes;
     std::map<replica_id, replication_progress> progress;
     std::map<std::string, joining_member> joining;
+    /// When this member began to lead.
+    time_point leads_since{};
+    /// Where members were last heard from, by name.
+    std::map<std::string, std::string> addresses;
+    /// Addresses of leaders that other members named, asked to be added besides the seeds.
+    std::string hinted_leader;
 
     /// Formation: the nonce of this process and the members that answered it as empty.
     std::uint64_t hello_nonce = 0;
--- /dev/null
+++ b/core/instances/instance_directory.cpp
@@ -0,0 +1,77 @@
+#include "core/instances/instance_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamdrift {
+namespace {
+
+/// True when `a` was said before `b` by the same instance.
+bool is_older(const instance_heartbeat& a, const instance_heartbeat& b)
+{
+    return std::pair(a.born_ms, a.sequence) < std::pair(b.born_ms, b.sequence);
+}
+
+/// True when entries would act differently.
+bool differs(const instance_heartbeat& a, const instance_heartbeat& b)
+{
+    return a.service != b.service || a.address != b.address || a.says_primary != b.says_primary ||
+           a.leaving != b.leaving || a.born_ms != b.born_ms ||
+           a.failure_domain != b.failure_domain || a.slots != b.slots;
+}
+
+/// True when another instance that was born later has the address.
+bool address_was_taken(const instance_directory& directory, const instance_heartbeat& it)
+{
+    return std::any_of(directory.instances.begin(), directory.instances.end(),
+                       [&](const auto& entry) {
+                           const instance_heartbeat& other = entry.second.said;
+                           return other.instance != it.instance && other.address == it.address &&
+                                  other.born_ms > it.born_ms;
+                       });
+}
+
+}  // namespace
+
+heartbeat_result note_heartbeat(instance_directory& directory, const instance_heartbeat& it,
+                                time_point now)
+{
+    if (address_was_taken(directory, it)) {
+        return heartbeat_result::outdated;
+    }
+    const auto found = directory.instances.find(it.instance);
+    if (found != directory.instances.end() && is_older(it, found->second.said)) {
+        return heartbeat_result::outdated;
+    }
+    const auto replaced = std::erase_if(directory.instances, [&](const auto& entry) {
+        return entry.first != it.instance && entry.second.said.address == it.address;
+    });
+    const bool changed =
+        replaced > 0 || found == directory.instances.end() || differs(found->second.said, it);
+    directory.instances[it.instance] = {it, now};
+    directory.version += changed ? 1 : 0;
+    return heartbeat_result::taken;
+}
+
+void remove_instance(instance_directory& directory, const std::string& instance)
+{
+    directory.version += directory.instances.erase(instance);
+}
+
+void drop_silent(instance_directory& directory, const directory_options& options, time_point now)
+{
+    directory.version += std::erase_if(directory.instances, [&](const auto& entry) {
+        return now - entry.second.heard_at > options.expiry;
+    });
+}
+
+std::vector<instance_heartbeat> list_instances(const instance_directory& directory)
+{
+    std::vector<instance_heartbeat> all;
+    for (const auto& [name, it] : directory.instances) {
+        all.push_back(it.said);
+    }
+    return all;
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/queueing/admission.cpp
@@ -0,0 +1,21 @@
+#include "core/queueing/admission.h"
+
+#include <algorithm>
+
+namespace balsamdrift {
+
+std::variant<admission_granted, admission_refused> admit(const admission_request& request,
+                                                         const admission_options& options)
+{
+    const int parallel = std::max(request.parallel, 1);
+    const duration backlog = request.mean_hold * (request.queued_ahead + 1) / parallel;
+    const duration wait = request.blocked_for + backlog;
+    const auto limit = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(request.time_left) * options.waiting_part);
+    if (wait <= limit) {
+        return admission_granted{wait};
+    }
+    return admission_refused{std::max(wait - limit, options.shortest_retry)};
+}
+
+}  // namespace balsamdrift
--- a/core/registry/change.h
+++ b/core/registry/change.h
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "core/registry/declared_configuration.h"
+#include "core/registry/primary_record.h"
 #include "core/registry/records.h"
 
 namespace balsamdrift {
@@ -148,10 +150,36 @@
     MSGPACK_DEFINE(secret)
 };
 
+/// Replaces the declared configuration if this version is higher than the one in force.
+struct replace_declared {
+    declared_configuration configuration;
+    MSGPACK_DEFINE(configuration)
+};
+
+/// An instance said that it leaves: it gets no new work. An instance that starts anew under the
+/// same name is another one, told apart by when it was born.
+struct mark_leaving {
+    std::string instance;
+    std::int64_t born_ms = 0;
+    MSGPACK_DEFINE(instance, born_ms)
+};
+
+/// Moves the record of a service's primary to another phase, unless it changed meanwhile.
+struct change_primary {
+    std::string service;
+    /// Epoch of the record that the proposer saw; zero when it saw none.
+    std::uint64_t seen_epoch = 0;
+    std::string instance;
+    primary_phase phase = primary_phase::serving;
+    bool planned = false;
+    MSGPACK_DEFINE(service, seen_epoch, instance, phase, planned)
+};
+
 /// Any command in the control log.
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
-                 release_item, record_primary, activate_preset, set_session_secret>;
+                 release_item, record_primary, activate_preset, set_session_secret,
+                 replace_declared, mark_leaving, change_primary>;
 
 /// How a command ended.
 enum class change_status : std::uint8_t {
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 
 #include "base/codec.h"
@@ -308,8 +309,53 @@
     return accepted(0);
 }
 
+change_result apply_command(registry& state, const replace_declared& it)
+{
+    if (it.configuration.version > state.declared.version) {
+        state.declared = it.configuration;
+    }
+    return accepted(state.declared.version);
+}
+
+change_result apply_command(registry& state, const mark_leaving& it)
+{
+    const auto [found, inserted] = state.leaving.try_emplace(it.instance, it.born_ms);
+    if (!inserted) {
+        found->second = std::max(found->second, it.born_ms);
+        return accepted(0);
+    }
+    state.leaving_order.push_back(it.instance);
+    if (state.leaving_order.size() > kept_leaving_instances) {
+        state.leaving.erase(state.leaving_order.front());
+        state.leaving_order.pop_front();
+    }
+    return accepted(0);
+}
+
+change_result apply_command(registry& state, const change_primary& it)
+{
+    primary_record& record = state.primaries[it.service];
+    if (record.epoch != it.seen_epoch) {
+        return {change_status::fenced, record.epoch, "the primary changed meanwhile"};
+    }
+    const bool promoted =
+        record.phase == primary_phase::chosen && it.phase == primary_phase::serving;
+    record = {.instance = it.instance,
+              .phase = it.phase,
+              .planned = it.planned,
+              .epoch = state.index,
+              .generation = record.generation + (promoted ? 1 : 0)};
+    return accepted(record.epoch);
+}
+
 }  // namespace
 
+bool is_leaving(const registry& state, const std::string& instance, std::int64_t born_ms)
+{
+    const auto found = state.leaving.find(instance);
+    return found != state.leaving.end() && found->second >= born_ms;
+}
+
 change_result apply(registry& state, std::uint64_t index, const registry_command& command)
 {
     state.index = index;
--- /dev/null
+++ b/core/statements/instance_status.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/sessions/log_position.h"
+
+namespace balsamdrift {
+
+/// What an instance answers to a status statement.
+struct instance_status {
+    bool is_primary = false;
+    /// Highest term that the instance knows of.
+    std::uint64_t term = 0;
+    /// Newest position that it has received.
+    log_position received;
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/statements/statement.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/sessions/log_position.h"
+
+namespace balsamdrift {
+
+/// What a statement asks for.
+enum class statement_kind : std::uint8_t {
+    begin,
+    begin_read_only,
+    commit,
+    rollback,
+    read,
+    write,
+    /// Sets a value of the session.
+    set_value,
+    prepare_read,
+    prepare_write,
+    /// Runs a prepared statement.
+    execute,
+    deallocate,
+    /// Asks an instance for its role and position; never sent by callers.
+    status,
+    /// Turns a primary of an older term into a replica; never sent by callers.
+    step_down,
+};
+
+/// One statement, as a caller sent it or as it goes to an instance.
+struct statement {
+    statement_kind kind = statement_kind::read;
+    /// The caller's id; empty for statements of the system's own.
+    std::string id;
+    /// Name of the session value or of the prepared statement.
+    std::string name;
+    /// Everything after the name, byte for byte: item and data, the value, or the prepared shape.
+    std::string argument;
+    /// The instance's log must hold this position; otherwise it does not run the statement.
+    std::optional<log_position> floor;
+};
+
+/// How a statement failed. What each code promises about effects is said by has_no_effect().
+enum class statement_error_code : std::uint8_t {
+    busy,
+    aborted,
+    lagging,
+    read_only,
+    misrouted,
+    too_many,
+    failed,
+    unknown_statement,
+    timeout,
+    not_authorized,
+    unknown_database,
+    too_large,
+    malformed,
+    in_doubt,
+};
+
+/// A failed statement.
+struct statement_error {
+    statement_error_code code = statement_error_code::failed;
+    std::string text;
+};
+
+/// A statement that succeeded; the receipt is empty when no instance ran it.
+struct statement_success {
+    std::string receipt;
+};
+
+/// Where a session stands between statements.
+enum class session_state : std::uint8_t { idle, in_transaction, failed_transaction };
+
+/// The answer to a statement.
+struct statement_answer {
+    std::vector<std::string> rows;
+    std::variant<statement_success, statement_error> result;
+    session_state state = session_state::idle;
+    /// Newest position in the log of the instance that answered.
+    std::optional<log_position> position;
+};
+
+/// True when the answer says that the statement succeeded.
+inline bool is_success(const statement_answer& it)
+{
+    return std::holds_alternative<statement_success>(it.result);
+}
+
+/// The error's code, or nothing on success.
+inline std::optional<statement_error_code> error_code_of(const statement_answer& it)
+{
+    const auto* const error = std::get_if<statement_error>(&it.result);
+    return error == nullptr ? std::nullopt : std::optional(error->code);
+}
+
+/// True when an instance that answers with this code did not run the statement.
+inline bool was_not_run(statement_error_code code)
+{
+    switch (code) {
+        case statement_error_code::busy:
+        case statement_error_code::lagging:
+        case statement_error_code::read_only:
+        case statement_error_code::misrouted:
+        case statement_error_code::too_many:
+        case statement_error_code::unknown_statement: return true;
+        default: return false;
+    }
+}
+
+}  // namespace balsamdrift
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -1,5 +1,7 @@
 #include "entry/lease_client.h"
 
+#include <set>
+
 #include "base/codec.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -51,11 +53,23 @@
         send(leader_, message);
         return;
     }
-    for (const std::string& it : options_.control) {
+    send_to_all(message);
+}
+
+void lease_client::send_to_all(const lease_message& message)
+{
+    std::set<std::string> all(options_.control.begin(), options_.control.end());
+    all.insert(members_.begin(), members_.end());
+    for (const std::string& it : all) {
         send(it, message);
     }
 }
 
+void lease_client::ask_soon()
+{
+    renew_at_ = std::min(renew_at_, std::max(monotonic_clock::now(), asked_at_ + hint_pause));
+}
+
 void lease_client::ask()
 {
     if (given_back_) {
@@ -65,8 +79,12 @@
     renew_at_ = asked_at_ + options_.renew_interval;
     const std::int64_t sent_at =
         std::chrono::duration_cast<std::chrono::nanoseconds>(asked_at_.time_since_epoch()).count();
-    send_to_control(
-        lease_request{view_.self().name, options_.record, registry_.index, sent_at, draining_});
+    lease_request request{view_.self().name, options_.record, registry_.index,
+                          sent_at,           draining_,       {}};
+    if (options_.make_report) {
+        request.report = options_.make_report();
+    }
+    send_to_control(request);
 }
 
 void lease_client::on_tick()
@@ -133,6 +151,9 @@
         leader_ = sender;
         const time_point sent_at{std::chrono::nanoseconds(it.sent_at)};
         answered_at_ = std::max(answered_at_, sent_at);
+        if (!it.instructions.control.empty()) {
+            members_ = it.instructions.control;
+        }
         // The lease counts from before the question was sent.
         view_.set_lease_end(answered_at_ + milliseconds(it.lease_ms));
     }
@@ -140,6 +161,9 @@
         log_event(event_id::configuration_in_force, {{"version", std::to_string(registry_.version)},
                                                      {"index", std::to_string(registry_.index)}});
     }
+    if (options_.on_instructions) {
+        options_.on_instructions(it.instructions);
+    }
     if (changed) {
         on_change_();
         // The leader learns at once what is in force here.
--- a/entry/lease_client.h
+++ b/entry/lease_client.h
@@ -20,6 +20,9 @@
     duration renew_interval = milliseconds(500);
     /// A request without an answer for this long is sent to every control member.
     duration answer_timeout = milliseconds(200);
+    /// Set by entries that run statements themselves: what control is told, and what it answers.
+    std::function<entry_report()> make_report = {};
+    std::function<void(const entry_instructions&)> on_instructions = {};
 };
 
 /// Keeps the entry's lease and configuration: asks the control leader in turn, applies what it
@@ -37,6 +40,9 @@
     /// Proposes a command that an owner may propose. Safe from any thread.
     void propose(const registry_command& command);
 
+    /// Asks again within a few milliseconds: control should hear something new.
+    void ask_soon();
+
     /// Tells control that this entry stops: it keeps its lease and gets no new items.
     void drain();
 
@@ -55,6 +61,7 @@
     bool adopt(const lease_grant& it);
     void send(const std::string& address, const lease_message& message);
     void send_to_control(const lease_message& message);
+    void send_to_all(const lease_message& message);
 
     lease_client_options options_;
     entry_view& view_;
@@ -62,6 +69,8 @@
     std::function<void()> on_change_;
     registry registry_;
     std::string leader_;
+    /// Control members as the leader named them last.
+    std::vector<std::string> members_;
     time_point asked_at_{};
     time_point answered_at_{};
     time_point renew_at_{};
--- /dev/null
+++ b/entry/statement_entry.cpp
@@ -0,0 +1,103 @@
+#include "entry/statement_entry.h"
+
+#include "base/metrics.h"
+#include "base/random.h"
+#include "platform/line_instance_link.h"
+#include "platform/readiness_interface.h"
+
+namespace balsamdrift {
+namespace {
+
+constexpr milliseconds tick_interval(10);
+
+/// A session that was served this lately may have its next statement on the way.
+constexpr milliseconds resting_time(150);
+
+}  // namespace
+
+statement_entry::statement_entry(statement_entry_options options, fleet_node& fleet)
+    : options_(std::move(options)),
+      fleet_(fleet),
+      view_({options_.name, random_identity()}),
+      sessions_(options_.sessions,
+                {.now = [] { return monotonic_clock::now(); },
+                 .open = make_line_opener(&owner_),
+                 .configuration = [this] { return view_.state(); },
+                 .holds_lease = [this](time_point now) { return view_.holds_lease(now); },
+                 .report_soon = [this] { lease_->ask_soon(); }}),
+      front_(options_.statements, sessions_),
+      readiness_(options_.readiness, make_readiness_handler([this] { return is_ready(); }))
+{
+}
+
+statement_entry::~statement_entry() { stop(); }
+
+outcome<endpoint> statement_entry::start()
+{
+    auto listening = readiness_.start();
+    if (!succeeded(listening)) {
+        return listening;
+    }
+    auto callers = front_.start();
+    if (!succeeded(callers)) {
+        return callers;
+    }
+    lease_ = std::make_unique<lease_client>(
+        lease_client_options{
+            .record = {.incarnation = view_.self().incarnation,
+                       .address = fleet_.address(),
+                       .failure_domain = options_.sessions.failure_domain,
+                       .platform_address = to_string(value_of(listening))},
+            .control = options_.control,
+            .renew_interval = options_.lease_renew_interval,
+            .make_report = [this] { return sessions_.report(); },
+            .on_instructions =
+                [this](const entry_instructions& it) { sessions_.on_instructions(it); }},
+        view_, fleet_);
+    QObject::connect(&timer_, &QTimer::timeout, &owner_, [this] { tick(); });
+    timer_.start(tick_interval);
+    lease_->start([this] {
+        sessions_.on_configuration();
+        configured_ = view_.state()->declared.version > 0;
+    });
+    return callers;
+}
+
+void statement_entry::receive(fleet_message message)
+{
+    if (message.channel == fleet_channel::lease) {
+        lease_->receive(std::move(message));
+    }
+}
+
+void statement_entry::tick()
+{
+    sessions_.tick();
+    set_metric("balsamdrift_caller_sessions", "", static_cast<double>(sessions_.open_sessions()));
+}
+
+bool statement_entry::is_ready() const { return configured_ && !draining_; }
+
+void statement_entry::begin_drain()
+{
+    draining_ = true;
+    lease_->drain();
+}
+
+void statement_entry::end_idle_sessions() { sessions_.end_idle_sessions(resting_time); }
+
+void statement_entry::stop()
+{
+    if (stopped_) {
+        return;
+    }
+    stopped_ = true;
+    timer_.stop();
+    if (lease_) {
+        lease_->give_back();
+    }
+    front_.stop();
+    readiness_.stop();
+}
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/entry/statement_entry.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <QObject>
+#include <QTimer>
+#include <memory>
+
+#include "callers/http_server.h"
+#include "entry/entry_view.h"
+#include "entry/lease_client.h"
+#include "fleet/fleet_node.h"
+#include "platform/line_front.h"
+#include "pooling/session_service.h"
+
+namespace balsamdrift {
+
+/// Settings of an entry that runs statements itself.
+struct statement_entry_options {
+    std::string name;
+    endpoint statements;
+    http_server_options readiness;
+    /// Fleet addresses of control members, as the settings list them.
+    std::vector<std::string> control;
+    duration lease_renew_interval = milliseconds(500);
+    session_service_options sessions;
+};
+
+/// An entry whose callers and instances speak the platform's statement protocol. Sessions, the
+/// lease and all connections live on one thread.
+class statement_entry {
+public:
+    statement_entry(statement_entry_options options, fleet_node& fleet);
+    ~statement_entry();
+    statement_entry(const statement_entry&) = delete;
+    statement_entry& operator=(const statement_entry&) = delete;
+
+    /// Starts to serve. Gives the address for callers.
+    outcome<endpoint> start();
+
+    /// Takes a message of the fleet. Safe from any thread.
+    void receive(fleet_message message);
+
+    /// Reports unready; callers on open connections are still served.
+    void begin_drain();
+
+    /// Ends sessions as soon as they rest outside a transaction.
+    void end_idle_sessions();
+
+    /// Ends open transactions; their callers hear that nothing of them is kept.
+    void abort_transactions() { sessions_.abort_transactions(); }
+
+    /// True when no caller is connected.
+    bool is_drained() const { return sessions_.open_sessions() == 0; }
+
+    /// Gives the lease back and closes everything.
+    void stop();
+
+private:
+    void tick();
+    bool is_ready() const;
+
+    statement_entry_options options_;
+    fleet_node& fleet_;
+    entry_view view_;
+    QObject owner_;
+    session_service sessions_;
+    line_front front_;
+    std::unique_ptr<lease_client> lease_;
+    http_server readiness_;
+    std::atomic<bool> draining_ = false;
+    std::atomic<bool> configured_ = false;
+    QTimer timer_;
+    bool stopped_ = false;
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/fleet/entry_report.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+#include "base/codec.h"
+#include "base/time.h"
+#include "core/instances/instance_directory.h"
+#include "core/rates/allotment.h"
+
+namespace balsamdrift {
+
+/// How an entry fares with the primary of a service.
+struct primary_evidence {
+    std::string service;
+    std::string instance;
+    /// Connections to it fail now.
+    bool failing = false;
+    /// Time since it last served this entry; negative when it never did.
+    milliseconds served_ago{-1};
+    MSGPACK_DEFINE(service, instance, failing, served_ago)
+};
+
+/// What an entry that runs statements itself tells control with each question for its lease.
+struct entry_report {
+    /// No statement runs here under a record of a primary older than this registry index.
+    std::uint64_t settled_index = 0;
+    std::vector<primary_evidence> primaries;
+    /// Operations per second that callers asked for, by customer.
+    std::map<std::string, double> demand;
+    rate_shares held;
+    std::uint64_t grant_number = 0;
+    std::uint64_t directory_version = 0;
+    MSGPACK_DEFINE(settled_index, primaries, demand, held, grant_number, directory_version)
+};
+
+/// What control answers to it.
+struct entry_instructions {
+    /// Fleet addresses of all control members.
+    std::vector<std::string> control;
+    /// Entries that may open connections to instances.
+    std::uint32_t entry_count = 0;
+    rate_shares shares;
+    std::uint64_t grant_number = 0;
+    /// The instances, when the entry has another version of the directory.
+    std::uint64_t directory_version = 0;
+    bool has_directory = false;
+    std::vector<instance_heartbeat> instances;
+    MSGPACK_DEFINE(control, entry_count, shares, grant_number, directory_version, has_directory,
+                   instances)
+};
+
+}  // namespace balsamdrift
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -7,6 +7,7 @@
 
 #include "core/consensus/log_entry.h"
 #include "core/registry/records.h"
+#include "fleet/entry_report.h"
 
 namespace balsamdrift {
 
@@ -20,7 +21,9 @@
     std::int64_t sent_at = 0;
     /// True once the entry stops: it gets no new items.
     bool draining = false;
-    MSGPACK_DEFINE(entry, record, index, sent_at, draining)
+    /// Filled by entries that run statements themselves.
+    entry_report report;
+    MSGPACK_DEFINE(entry, record, index, sent_at, draining, report)
 };
 
 /// The leader's answer, or a push of new configuration when `sent_at` is zero.
@@ -33,7 +36,8 @@
     std::string snapshot;
     /// Committed log entries after the snapshot or after the entry's index.
     std::vector<log_entry> entries;
-    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries)
+    entry_instructions instructions;
+    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries, instructions)
 };
 
 /// The asked member does not lead.
@@ -56,8 +60,39 @@
     MSGPACK_DEFINE(entry)
 };
 
-/// Any message between entries and control.
+/// A control member passes what it heard from an instance on to the leader.
+struct relayed_heartbeat {
+    instance_heartbeat heartbeat;
+    MSGPACK_DEFINE(heartbeat)
+};
+
+/// A control member passes an operator's or an instance's command on to the leader.
+struct relayed_command {
+    std::uint64_t id = 0;
+    /// Encoded registry_command; empty asks the leader for the declared configuration.
+    std::string command;
+    MSGPACK_DEFINE(id, command)
+};
+
+/// The leader's answer to a relayed command.
+struct relayed_answer {
+    std::uint64_t id = 0;
+    /// False when the leader could not settle it; nothing is said about its effect.
+    bool settled = false;
+    /// The declared configuration, if it was asked for.
+    std::string document;
+    MSGPACK_DEFINE(id, settled, document)
+};
+
+/// An instance said goodbye; the leader drops it from the directory.
+struct relayed_goodbye {
+    std::string instance;
+    MSGPACK_DEFINE(instance)
+};
+
+/// Any message between entries and control, and between control members besides the log.
 using lease_message =
-    std::variant<lease_request, lease_grant, not_leader, owner_command, lease_return>;
+    std::variant<lease_request, lease_grant, not_leader, owner_command, lease_return,
+                 relayed_heartbeat, relayed_command, relayed_answer, relayed_goodbye>;
 
 }  // namespace balsamdrift
--- /dev/null
+++ b/pooling/caller_session.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/time.h"
+#include "core/registry/declared_configuration.h"
+#include "core/statements/statement.h"
+#include "pooling/pooled_link.h"
+
+namespace balsamdrift {
+
+/// Hears the answer to one statement.
+using answer_handler = std::function<void(const statement_answer&)>;
+
+/// A statement that a caller waits for.
+struct pending_statement {
+    statement sent;
+    answer_handler on_answer;
+    time_point arrived_at{};
+    /// After this it is not waited for any more.
+    time_point deadline{};
+    /// Place in the service's queue, while it waits there.
+    std::optional<std::uint64_t> queue_number;
+    int attempts = 0;
+    /// Instances that could not run it.
+    std::set<std::string> excluded;
+    /// When it went to the connection, and under which record of the primary.
+    time_point dispatched_at{};
+    std::uint64_t primary_epoch = 0;
+    /// It runs at the recorded primary under this VM's lease.
+    bool under_lease = false;
+    bool main_sent = false;
+};
+
+/// A transaction of a caller. It gets a connection with its first statement.
+struct caller_transaction {
+    bool read_only = false;
+    std::string begin_id;
+    /// The route as it was when the transaction began.
+    declared_route route;
+    std::string customer;
+    pooled_link_ptr link;
+    bool wrote = false;
+    /// The record of the primary that it began under, if it runs there.
+    std::uint64_t primary_epoch = 0;
+    bool under_lease = false;
+    /// The connection or the right to use it was lost: nothing of it is kept.
+    bool lost = false;
+};
+
+/// What a prepared name of a session stands for.
+struct prepared_shape {
+    bool writes = false;
+    std::string shape;
+};
+
+/// A caller's session: a connection's worth of values, prepared names and one transaction.
+struct caller_session {
+    std::uint64_t number = 0;
+    std::string database;
+    std::string key;
+    /// Ends the caller's connection.
+    std::function<void()> end;
+    session_values values;
+    std::map<std::string, prepared_shape> prepared;
+    session_state state = session_state::idle;
+    std::optional<caller_transaction> transaction;
+    std::unique_ptr<pending_statement> pending;
+    /// Newest commit of the session, and the generation of the primary that gave it.
+    log_position written;
+    std::uint64_t written_generation = 0;
+    time_point active_at{};
+};
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/pooling/session_service.h
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "core/queueing/admission.h"
+#include "core/rates/token_bucket.h"
+#include "core/registry/registry.h"
+#include "core/routing/placement.h"
+#include "fleet/entry_report.h"
+#include "pooling/caller_session.h"
+#include "pooling/service_state.h"
+
+namespace balsamdrift {
+
+/// Settings of the sessions of one VM.
+struct session_service_options {
+    /// Failure domain of this VM, and the region of each domain.
+    std::string failure_domain;
+    std::map<std::string, std::string> regions;
+    /// A statement is sent to this many instances at most.
+    int most_attempts = 4;
+    /// A read that was not answered for this part of its limit is tried elsewhere.
+    double read_attempt_part = 0.5;
+    /// A session's answer leaves this long before the statement's limit.
+    duration answer_margin = milliseconds(20);
+    /// Data is read this much fresher than the route accepts.
+    duration staleness_margin = milliseconds(100);
+    /// A change of primary takes about this long, from its beginning to its end.
+    duration primary_change_time = milliseconds(1700);
+    /// A lease that ran out is usually renewed within this time.
+    duration lease_renewal_time = milliseconds(300);
+    /// Connections of an instance that stay free for control and for changes of the shares.
+    int spare_connections = 2;
+    /// A leaving primary serves on until its successor does, but not for longer than this.
+    duration leaving_grace = seconds(4);
+    /// What a planned change of primary waits for running statements.
+    duration settle_patience = milliseconds(1000);
+    /// An idle connection is closed after this.
+    duration idle_link_timeout = seconds(30);
+    /// An instance that control does not list is kept this long: a new leader hears of all instances
+    /// only after their next heartbeats.
+    duration missing_grace = seconds(4);
+    /// A new connection that is not accepted after this is given up.
+    duration connect_timeout = milliseconds(400);
+    /// Part of a customer's rate that is there at once when an entry starts, in seconds of it.
+    double first_tokens_seconds = 0.5;
+    pool_options pool;
+    placement_options placement;
+    admission_options admission;
+    position_book_options book;
+};
+
+/// What the sessions need from outside.
+struct session_service_hooks {
+    std::function<time_point()> now;
+    link_opener open;
+    /// The configuration in force.
+    std::function<std::shared_ptr<const registry>()> configuration;
+    /// True while this VM may send work to primaries.
+    std::function<bool(time_point)> holds_lease;
+    /// Control should hear the report soon.
+    std::function<void()> report_soon;
+};
+
+/// Serves the sessions of callers over pooled connections to instances. Every caller's statement
+/// ends in exactly one answer. All work happens on one thread.
+class session_service {
+public:
+    session_service(session_service_options options, session_service_hooks hooks);
+
+    /// Opens a session, or says why not. `end` is called when this side ends it.
+    std::variant<std::uint64_t, statement_error> open_session(const std::string& database,
+                                                              const std::string& key,
+                                                              std::function<void()> end);
+
+    /// Runs a statement of a session that waits for no other answer.
+    void run(std::uint64_t session, statement sent, answer_handler on_answer);
+
+    /// The caller left; what runs for it is abandoned and rolled back.
+    void close_session(std::uint64_t session);
+
+    /// The configuration in force changed.
+    void on_configuration();
+
+    /// Control said what to do.
+    void on_instructions(const entry_instructions& it);
+
+    /// Ends what is due; called every few milliseconds.
+    void tick();
+
+    /// What control is told.
+    entry_report report();
+
+    /// Ends sessions that rest outside transactions.
+    void end_idle_sessions(duration idle_for);
+
+    /// Ends open transactions: nothing of them is kept.
+    void abort_transactions();
+
+    std::size_t open_sessions() const { return sessions_.size(); }
+
+    /// Sessions inside a transaction or waiting for an answer.
+    std::size_t busy_sessions() const;
+
+private:
+    // Sessions and statements that need no instance.
+    void answer(caller_session& session, const statement_answer& it);
+    void answer_success(caller_session& session);
+    void answer_error(caller_session& session, statement_error_code code, const std::string& text);
+    void run_local(caller_session& session);
+    void prepare(caller_session& session, const statement& sent);
+    void begin_transaction(caller_session& session);
+    void run_outside_transaction(caller_session& session);
+    void run_inside_transaction(caller_session& session);
+    void run_in_failed_transaction(caller_session& session);
+    bool admit_operation(caller_session& session, declared_route& route, std::string& customer);
+    bool take_customer_token(caller_session& session, const std::string& customer);
+    void end_transaction(caller_session& session);
+    void lose_transaction(caller_session& session);
+
+    // Placement of statements on connections.
+    const declared_route& route_of(const caller_session& session) const;
+    const std::string& customer_of(const caller_session& session) const;
+    bool writes(const caller_session& session, const statement& sent) const;
+    bool needs_primary(const caller_session& session) const;
+    bool may_use_primary(const service_state& service, time_point now) const;
+    std::optional<log_position> floor_of(const caller_session& session,
+                                         const service_state& service, time_point now) const;
+    bool is_eligible(const caller_session& session, const service_state& service,
+                     const instance_pool& pool, time_point now) const;
+    std::vector<placement_candidate> candidates(const caller_session& session,
+                                                const service_state& service,
+                                                time_point now) const;
+    int share_of(const std::string& service) const;
+    proximity distance_to(const instance_pool& pool) const;
+    duration blocked_for(const caller_session& session, const service_state& service,
+                         time_point now) const;
+    bool dispatch(caller_session& session, service_state& service);
+    void enqueue(caller_session& session, service_state& service);
+    void leave_queue(caller_session& session);
+    void serve_queue(service_state& service);
+    void start_on(caller_session& session, service_state& service, instance_pool& pool);
+    pooled_link_ptr take_link(const caller_session& session, service_state& service,
+                              instance_pool& pool);
+    pooled_link_ptr open_link(service_state& service, instance_pool& pool,
+                              const std::string& customer);
+    void set_up_link(caller_session& session, pooled_link& link);
+    void send_main(caller_session& session, pooled_link& link);
+    void send(pooled_link& link, const statement& it, answer_purpose purpose);
+
+    // Answers of instances.
+    void on_started(const pooled_link_ptr& link, const statement_answer& it);
+    void on_link_answer(const pooled_link_ptr& link, const statement_answer& it);
+    void on_link_end(const pooled_link_ptr& link, link_end why, const statement_error& error);
+    void on_set_up_answer(caller_session& session, const pooled_link_ptr& link,
+                          const statement_answer& it, answer_purpose purpose);
+    void on_main_answer(caller_session& session, const pooled_link_ptr& link,
+                        const statement_answer& it);
+    void on_success(caller_session& session, const pooled_link_ptr& link,
+                    const statement_answer& it);
+    void on_error(caller_session& session, const pooled_link_ptr& link,
+                  const statement_answer& it);
+    void note_position(service_state& service, instance_pool& pool, const statement_answer& it,
+                       const expected_answer& expected);
+    void note_refusal(service_state& service, instance_pool& pool, statement_error_code code);
+    bool still_valid(const caller_session& session, const service_state& service) const;
+    void retry(caller_session& session, const std::string& instance, const std::string& reason);
+    void finish_lost(caller_session& session, const std::string& reason);
+    void release_link(const pooled_link_ptr& link);
+    void drop_link(const pooled_link_ptr& link);
+    caller_session* find_session(std::uint64_t number);
+    instance_pool* find_pool(const std::string& instance, service_state** service);
+
+    // Changes of configuration, primaries and directory.
+    void adopt_record(const std::string& name, service_state& service,
+                      const primary_record& record);
+    void stop_primary_work(service_state& service, bool planned);
+    bool uses_earlier_primary(const caller_session& session, const service_state& service) const;
+    void adopt_directory(const std::vector<instance_heartbeat>& instances);
+    void drop_missing(service_state& service, time_point now);
+    void adopt_shares(const entry_instructions& it);
+    void check_pending(caller_session& session, time_point now);
+    void check_links(time_point now);
+    void check_settled(service_state& service, time_point now);
+    void log_refusal(const caller_session& session, const std::string& reason, duration retry_after);
+
+    session_service_options options_;
+    session_service_hooks hooks_;
+    std::shared_ptr<const registry> state_;
+    std::map<std::uint64_t, std::unique_ptr<caller_session>> sessions_;
+    std::map<std::string, service_state> services_;
+    std::map<std::string, token_bucket> buckets_;
+    std::map<std::string, std::uint64_t> asked_;
+    std::map<std::string, double> demand_;
+    time_point demand_since_{};
+    rate_shares shares_;
+    std::uint64_t grant_number_ = 0;
+    std::uint64_t directory_version_ = 0;
+    std::uint32_t entry_count_ = 1;
+    std::uint64_t next_session_ = 1;
+    std::uint64_t next_link_ = 1;
+    std::uint64_t next_queue_number_ = 1;
+};
+
+}  // namespace balsamdrift
