Keep the leader alive when it settles submissions it lists, register restarted entries at once

Cause: check_submissions walked the map while serving a read settled and erased the entry walked on; the leader crashed 50 ms after its election (code 139) whenever a read of the configuration waited for it. A restarted entry waited 3 s until the lease of its earlier process ran out.

Ruled out: recursion of the consensus step (the actions outlive the call).

Change: the ids are fixed before they are served. An entry on the address of its predecessor registers at once: two processes cannot hold one address.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -339,8 +339,11 @@
         const replica_id earlier{it.entry, known == registry_.entries.end()
                                                ? it.record.incarnation
                                                : known->second.incarnation};
+        // Where entries own nothing, a process on the same address proves that the earlier is gone.
+        const bool replaced = coordinates_ && known != registry_.entries.end() &&
+                              known->second.address == it.record.address;
         const bool may_serve =
-            earlier != id &&
+            earlier != id && !replaced &&
             expired_entries(leases_, {earlier}, options_.lease_duration, now).empty();
         if (!may_serve) {
             log_event(event_id::entry_registered, {{"entry", it.entry}});
@@ -563,18 +566,25 @@
 
 void control_service::check_submissions(time_point now)
 {
-    std::vector<std::uint64_t> overdue;
-    for (auto& [id, it] : submissions_) {
+    // Serving a submission may settle it and others, so the list is fixed first.
+    std::vector<std::uint64_t> ids;
+    ids.reserve(submissions_.size());
+    for (const auto& [id, it] : submissions_) {
+        ids.push_back(id);
+    }
+    for (const std::uint64_t id : ids) {
+        const auto found = submissions_.find(id);
+        if (found == submissions_.end()) {
+            continue;
+        }
+        submission& it = found->second;
         if (now >= it.give_up_at) {
-            overdue.push_back(id);
+            settle_submission(id, false, {});
         }
         else if (!it.sent_at || now - *it.sent_at >= submission_retry) {
             forward_submission(id, it, now);
         }
     }
-    for (const std::uint64_t id : overdue) {
-        settle_submission(id, false, {});
-    }
 }
 
 coordinator_view control_service::make_coordinator_view() const
