Replace silent fleet connections, keep pipelined writes in doubt, give new leaders time to hear

Change: a fleet connection without a word from its peer for 1 s is replaced; a broken connection promises nothing, accepted or not; a primary that a new leader has not heard counts as lost only after 4 s; a registration counts as a lease.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -29,6 +29,9 @@
 /// Callers of the operators' interface move on after a second, so they hear before it.
 constexpr milliseconds submission_patience(850);
 
+/// A registration of an entry is proposed again after this.
+constexpr milliseconds registration_patience(500);
+
 /// A submission handed to a leader that does not answer is handed over again after this.
 constexpr milliseconds submission_retry(300);
 constexpr std::size_t session_secret_bytes = 32;
@@ -345,8 +348,15 @@
         const bool may_serve =
             earlier != id && !replaced &&
             expired_entries(leases_, {earlier}, options_.lease_duration, now).empty();
-        if (!may_serve) {
+        const auto lease = leases_.leases.find(id);
+        const bool pending =
+            lease != leases_.leases.end() &&
+            lease->second.ends_at > now + options_.lease_duration - registration_patience;
+        if (!may_serve && !pending) {
             log_event(event_id::entry_registered, {{"entry", it.entry}});
+            // Its lease counts from now, so that it is not expired before it can ask again.
+            grant(leases_, id, {.address = sender, .draining = it.draining},
+                  options_.lease_duration, now);
             propose_internal(register_entry{it.entry, it.record});
         }
         return;
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -112,7 +112,10 @@
                    const primary_change_options& options, time_point now)
 {
     const known_instance* const primary = find_instance(view, view.record.instance);
-    if (candidates(state, view, options, now).empty()) {
+    // A leader that has just begun has not heard from everyone yet.
+    const bool may_be_unheard =
+        primary == nullptr && now - state.phase_since < options.replica_freshness;
+    if (may_be_unheard || candidates(state, view, options, now).empty()) {
         return;
     }
     if (primary != nullptr && primary->said.leaving) {
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -137,6 +137,24 @@
     CHECK(it.promoted.empty());
 }
 
+TEST_CASE("a new leader does not take a primary that it has not heard yet for lost", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    REQUIRE(it.view.record.instance == "a");
+    // Leadership moves: nothing is known, and the replicas' heartbeats come first.
+    it.state = {};
+    it.view.instances.clear();
+    it.heartbeat("b");
+    it.heartbeat("c");
+    note_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(milliseconds(900));
+    CHECK(it.view.record.phase == primary_phase::serving);
+    it.run(seconds(3));
+    CHECK(it.view.record.instance == "a");
+    CHECK(it.promoted.empty());
+}
+
 TEST_CASE("nobody is promoted before every entry gave the old primary up", "[primary]")
 {
     service_fixture it;
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -6,12 +6,14 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <thread>
 
 #include "base/codec.h"
 #include "base/event_log.h"
 #include "base/sharded.h"
 #include "base/signature.h"
+#include "base/time.h"
 
 namespace balsamdrift {
 namespace {
@@ -29,9 +31,20 @@
            is_signature_of(bytes.substr(0, signature_bytes), bytes.substr(signature_bytes), secret);
 }
 
+/// A connection that may have gone silent for good is replaced after this long without any word
+/// from its peer. Every protocol of the fleet answers within a few hundred milliseconds.
+constexpr milliseconds silence_limit(1000);
+
+/// A socket to a peer.
+struct peer_socket {
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    /// When the first message was sent that nothing was heard after, if any.
+    std::optional<time_point> unanswered_since;
+};
+
 /// Sockets to peers, one shard of them.
 struct peer_sockets {
-    std::map<std::string, nng_socket> by_address;
+    std::map<std::string, peer_socket> by_address;
 };
 
 std::string url_of(const std::string& address) { return "tcp://" + address; }
@@ -48,6 +61,7 @@
 
     void receive_loop();
     void deliver(std::string_view bytes);
+    bool renew_if_silent(const std::string& address, peer_socket& peer);
     bool open_peer(const std::string& address, nng_socket& socket) const;
 };
 
@@ -62,6 +76,12 @@
     }
     fleet_frame& it = value_of(frame);
     observe_timeline_stamp(it.stamp);
+    peers.with(it.sender, [&](peer_sockets& shard) {
+        const auto peer = shard.by_address.find(it.sender);
+        if (peer != shard.by_address.end()) {
+            peer->second.unanswered_since.reset();
+        }
+    });
     on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
 }
 
@@ -92,6 +112,22 @@
     return true;
 }
 
+/// Replaces the connection when the peer has been silent for too long. False when none can be made.
+bool fleet_node::implementation::renew_if_silent(const std::string& address, peer_socket& peer)
+{
+    const time_point now = monotonic_clock::now();
+    if (!peer.unanswered_since) {
+        peer.unanswered_since = now;
+        return true;
+    }
+    if (now - *peer.unanswered_since < silence_limit) {
+        return true;
+    }
+    nng_close(peer.socket);
+    peer.unanswered_since = now;
+    return open_peer(address, peer.socket);
+}
+
 fleet_node::fleet_node(fleet_options options) : impl_(std::make_unique<implementation>())
 {
     impl_->options = std::move(options);
@@ -135,8 +171,8 @@
     impl_->receiving.join();
     nng_close(impl_->listener);
     impl_->peers.for_each([](peer_sockets& it) {
-        for (const auto& [address, socket] : it.by_address) {
-            nng_close(socket);
+        for (const auto& [address, peer] : it.by_address) {
+            nng_close(peer.socket);
         }
         it.by_address.clear();
     });
@@ -152,14 +188,18 @@
     impl_->peers.with(address, [&](peer_sockets& it) {
         auto found = it.by_address.find(address);
         if (found == it.by_address.end()) {
-            nng_socket socket = NNG_SOCKET_INITIALIZER;
-            if (!impl_->open_peer(address, socket)) {
+            peer_socket peer;
+            if (!impl_->open_peer(address, peer.socket)) {
                 return;
             }
-            found = it.by_address.emplace(address, socket).first;
+            found = it.by_address.emplace(address, peer).first;
+        }
+        if (!impl_->renew_if_silent(address, found->second)) {
+            it.by_address.erase(found);
+            return;
         }
         // Dropped when the queue is full; every protocol above repeats what matters.
-        (void)nng_send(found->second, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+        (void)nng_send(found->second.socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
     });
 }
 
--- a/pooling/instance_link.h
+++ b/pooling/instance_link.h
@@ -19,7 +19,7 @@
 
 /// Why a connection ended.
 enum class link_end : std::uint8_t {
-    /// Nothing listened at the address, or nothing answered there.
+    /// No connection came about, so nothing was sent.
     unreachable,
     /// The instance refused the connection with an error.
     refused,
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -328,7 +328,8 @@
     const bool first = pending.attempts > 0;
     const bool repeatable = is_single(*session) && !writes(*session, pending.sent);
     const bool untouched = first && !pending.main_sent;
-    // A connection that was never accepted ran nothing of what was sent behind its opening line.
+    // Nothing was sent to an instance that could not be reached, and nothing ran behind an opening
+    // line that was refused. A connection that broke, accepted or not, promises nothing.
     const bool refused = first && !link->started && why != link_end::broken;
     if (untouched || repeatable || refused) {
         retry(*session, link->instance, "connection lost");
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -242,8 +242,9 @@
         options_.read_attempt_part);
     const bool slow = reads && pending.attempts < 2 && now - pending.dispatched_at > patience;
     if (unaccepted || slow) {
+        // What was sent may have arrived, although nothing came back.
         link->io.close();
-        on_link_end(link, unaccepted ? link_end::unreachable : link_end::broken, {});
+        on_link_end(link, link_end::broken, {});
     }
 }
 
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -26,6 +26,8 @@
     bool reachable = true;
     /// Answers nothing to statements, though connections are accepted.
     bool silent = false;
+    /// Runs what it gets, but its words are lost from the first on.
+    bool mute = false;
     log_position position{1, 100};
     std::map<std::string, std::string> items;
     int connections = 0;
@@ -111,6 +113,9 @@
                 return;
             }
             ++instance.connections;
+            if (instance.mute) {
+                return;
+            }
             link->events.on_started({.position = instance.position});
         });
         return {.send =
@@ -170,7 +175,7 @@
         link->received.push_back(sent);
         statement_answer answer = run_at(instance, *link, sent);
         answer.position = instance.position;
-        if (!instance.silent) {
+        if (!instance.silent && !instance.mute) {
             link->events.on_answer(answer);
         }
     }
@@ -307,6 +312,17 @@
     CHECK(vm.instances["c"].reads == 1);
 }
 
+TEST_CASE("a write that was sent ahead on a connection without any answer is in doubt",
+          "[sessions]")
+{
+    vm_fixture vm;
+    vm.instances["a"].mute = true;
+    const auto session = vm.open_session("strict");
+    const auto answer = vm.run(session, write_of("x"));
+    CHECK(vm.instances["a"].items.contains("x"));
+    CHECK(error_code_of(answer) == statement_error_code::in_doubt);
+}
+
 TEST_CASE("a suspended primary gets nothing more, and what ran there is told as unknown",
           "[sessions]")
 {
