Pass lease requests on through other entries when control cannot be reached

Cause: an entry that is cut off from all control members (node_cut) lost its lease after 3 s and refused writes and reads of strict routes for the rest of the cut, though its neighbours could reach both it and control.

Ruled out: longer leases alone, since a failover waits for the leases of entries that are gone.

Change: an entry without an answer for 400 ms asks two other entries, which pass the question and the answer on; pushes of new configuration take the same way. Statements that only the primary could serve are refused at once when the lease has been gone for as long as they could wait.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -328,6 +328,27 @@
 }
 
 void control_service::handle(const lease_request& it, const std::string& sender)
+{
+    take_lease_request(it, sender, {});
+}
+
+void control_service::handle(const relayed_lease_request& it, const std::string& sender)
+{
+    take_lease_request(it.request, sender, it.origin);
+}
+
+void control_service::handle(const relayed_lease_grant&, const std::string&) {}
+
+void control_service::send_grant(const std::string& address, const std::string& origin,
+                                 const lease_grant& grant)
+{
+    const lease_message message =
+        origin.empty() ? lease_message(grant) : lease_message(relayed_lease_grant{origin, grant});
+    fleet_.send(address, fleet_channel::lease, encode_variant(message));
+}
+
+void control_service::take_lease_request(const lease_request& it, const std::string& sender,
+                                         const std::string& origin)
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
@@ -355,7 +376,7 @@
         if (!may_serve && !pending) {
             log_event(event_id::entry_registered, {{"entry", it.entry}});
             // Its lease counts from now, so that it is not expired before it can ask again.
-            grant(leases_, id, {.address = sender, .draining = it.draining},
+            grant(leases_, id, {.address = sender, .origin = origin, .draining = it.draining},
                   options_.lease_duration, now);
             propose_internal(register_entry{it.entry, it.record});
         }
@@ -363,6 +384,7 @@
     }
     grant(leases_, id,
           {.address = sender,
+           .origin = origin,
            .index = it.index,
            .draining = it.draining,
            .settled_index = it.report.settled_index},
@@ -372,7 +394,7 @@
         answer.instructions = coordinator_.instruct(make_coordinator_view(), id, it.report, now);
         answer.instructions.control = member_addresses();
     }
-    fleet_.send(sender, fleet_channel::lease, encode_variant(lease_message(answer)));
+    send_grant(sender, origin, answer);
 }
 
 lease_grant control_service::make_grant(const lease_request& it) const
@@ -414,7 +436,7 @@
         if (directory_changed) {
             coordinator_.fill_directory(update.instructions, 0);
         }
-        fleet_.send(lease.address, fleet_channel::lease, encode_variant(lease_message(update)));
+        send_grant(lease.address, lease.origin, update);
     }
 }
 
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -125,6 +125,12 @@
     void handle(const relayed_command& it, const std::string& sender);
     void handle(const relayed_answer& it, const std::string& sender);
     void handle(const relayed_goodbye& it, const std::string& sender);
+    void handle(const relayed_lease_request& it, const std::string& sender);
+    void handle(const relayed_lease_grant& it, const std::string& sender);
+    void take_lease_request(const lease_request& it, const std::string& sender,
+                            const std::string& origin);
+    void send_grant(const std::string& address, const std::string& origin,
+                    const lease_grant& grant);
     void add_submission(std::string command, submit_handler on_done);
     void forward_submission(std::uint64_t id, submission& it, time_point now);
     void settle_submission(std::uint64_t id, bool settled, const std::string& document);
--- a/control/lease_table.cpp
+++ b/control/lease_table.cpp
@@ -25,6 +25,7 @@
 {
     entry_lease& it = table.leases[entry];
     it.address = confirmed.address;
+    it.origin = confirmed.origin;
     it.ends_at = now + with_drift(lease);
     it.index = std::max(it.index, confirmed.index);
     it.draining = confirmed.draining;
--- a/control/lease_table.h
+++ b/control/lease_table.h
@@ -14,6 +14,8 @@
 /// What the leader knows about the lease of one entry process.
 struct entry_lease {
     std::string address;
+    /// Set when the entry asked through the one at `address`: its own address.
+    std::string origin = {};
     /// Until when the entry may serve, seen from the leader: never before the entry's own end.
     time_point ends_at{};
     /// Registry index that the entry confirmed to have in force.
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -1,5 +1,6 @@
 #include "entry/lease_client.h"
 
+#include <algorithm>
 #include <set>
 
 #include "base/codec.h"
@@ -11,6 +12,15 @@
 
 constexpr milliseconds tick_interval(20);
 
+/// An entry that control has not answered for this long asks through other entries as well.
+constexpr milliseconds relay_after(400);
+
+/// While another entry passes its questions on, an entry tries control itself this often.
+constexpr milliseconds direct_interval(1000);
+
+/// Other entries that are asked to pass a question on.
+constexpr int relay_count = 2;
+
 /// Shortest pause between two requests that follow a member's hint, since hints may contradict.
 constexpr milliseconds hint_pause(40);
 
@@ -84,7 +94,53 @@
     if (options_.make_report) {
         request.report = options_.make_report();
     }
+    const bool relayed = !leader_.empty() && !is_control(leader_);
+    if (relayed && asked_at_ - direct_at_ >= direct_interval) {
+        direct_at_ = asked_at_;
+        send_to_all(request);
+    }
     send_to_control(request);
+    if (leader_.empty() && asked_at_ - answered_at_ >= relay_after) {
+        ask_through_others(request);
+    }
+}
+
+bool lease_client::is_control(const std::string& address) const
+{
+    const auto among = [&](const std::vector<std::string>& all) {
+        return std::find(all.begin(), all.end(), address) != all.end();
+    };
+    return among(options_.control) || among(members_);
+}
+
+void lease_client::ask_through_others(const lease_request& request)
+{
+    std::vector<std::string> others;
+    for (const auto& [name, it] : registry_.entries) {
+        if (name != view_.self().name) {
+            others.push_back(it.address);
+        }
+    }
+    std::shuffle(others.begin(), others.end(), random_);
+    others.resize(std::min<std::size_t>(others.size(), relay_count));
+    for (const std::string& it : others) {
+        send(it, request);
+    }
+}
+
+void lease_client::handle(const lease_request& it, const std::string& sender)
+{
+    // Another entry is cut off from control; this one passes its question on if it is not.
+    const bool direct = !leader_.empty() && is_control(leader_) &&
+                        answered_at_ >= asked_at_ - options_.renew_interval;
+    if (direct) {
+        send(leader_, relayed_lease_request{sender, it});
+    }
+}
+
+void lease_client::handle(const relayed_lease_grant& it, const std::string&)
+{
+    send(it.origin, it.grant);
 }
 
 void lease_client::on_tick()
@@ -148,7 +204,13 @@
         view_.publish(std::make_shared<const registry>(registry_));
     }
     if (it.lease_ms > 0) {
-        leader_ = sender;
+        if (is_control(sender)) {
+            direct_at_ = monotonic_clock::now();
+        }
+        // Control itself is preferred to an entry that passes on.
+        if (is_control(sender) || leader_.empty() || !is_control(leader_)) {
+            leader_ = sender;
+        }
         const time_point sent_at{std::chrono::nanoseconds(it.sent_at)};
         answered_at_ = std::max(answered_at_, sent_at);
         if (!it.instructions.control.empty()) {
--- a/entry/lease_client.h
+++ b/entry/lease_client.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/random.h"
 #include "entry/entry_view.h"
 #include "fleet/fleet_node.h"
 #include "fleet/lease_message.h"
@@ -54,6 +55,10 @@
     void ask();
     void handle(const lease_grant& it, const std::string& sender);
     void handle(const not_leader& it, const std::string& sender);
+    void handle(const lease_request& it, const std::string& sender);
+    void handle(const relayed_lease_grant& it, const std::string& sender);
+    bool is_control(const std::string& address) const;
+    void ask_through_others(const lease_request& request);
     template<class Other>
     void handle(const Other&, const std::string&)
     {
@@ -74,6 +79,9 @@
     time_point asked_at_{};
     time_point answered_at_{};
     time_point renew_at_{};
+    /// When control itself answered last, or was asked last while another entry passes it on.
+    time_point direct_at_{};
+    random_engine random_{random_identity()};
     bool held_ = false;
     bool draining_ = false;
     bool given_back_ = false;
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -90,9 +90,24 @@
     MSGPACK_DEFINE(instance)
 };
 
+/// An entry that is cut off from control asks through another entry, which passes this on.
+struct relayed_lease_request {
+    /// Fleet address of the entry that asks.
+    std::string origin;
+    lease_request request;
+    MSGPACK_DEFINE(origin, request)
+};
+
+/// The leader's answer to it, on its way back through the same entry.
+struct relayed_lease_grant {
+    std::string origin;
+    lease_grant grant;
+    MSGPACK_DEFINE(origin, grant)
+};
+
 /// Any message between entries and control, and between control members besides the log.
-using lease_message =
-    std::variant<lease_request, lease_grant, not_leader, owner_command, lease_return,
-                 relayed_heartbeat, relayed_command, relayed_answer, relayed_goodbye>;
+using lease_message = std::variant<lease_request, lease_grant, not_leader, owner_command,
+                                   lease_return, relayed_heartbeat, relayed_command, relayed_answer,
+                                   relayed_goodbye, relayed_lease_request, relayed_lease_grant>;
 
 }  // namespace balsamdrift
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -201,6 +201,8 @@
     std::map<std::string, double> connection_demand_;
     std::uint64_t directory_version_ = 0;
     std::uint32_t entry_count_ = 1;
+    /// When this VM was last seen to hold its lease.
+    time_point lease_seen_at_{};
     std::uint64_t next_session_ = 1;
     std::uint64_t next_link_ = 1;
     std::uint64_t next_queue_number_ = 1;
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -174,7 +174,9 @@
             options_.primary_change_time - (now - primary->second.unreachable_since);
         return std::max(left, shortest);
     }
-    return shortest;
+    // A lease that has been gone for a while is not expected back sooner than that.
+    const duration without_lease = hooks_.holds_lease(now) ? duration{0} : now - lease_seen_at_;
+    return std::max(without_lease, shortest);
 }
 
 void session_service::enqueue(caller_session& session, service_state& service)
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -273,6 +273,9 @@
 void session_service::tick()
 {
     const time_point now = hooks_.now();
+    if (hooks_.holds_lease(now)) {
+        lease_seen_at_ = now;
+    }
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, session] : sessions_) {
         if (session->pending && session->transaction) {
