--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -61,7 +61,7 @@
     if (settings.coordination) {
         orders = make_platform_orders(&orders_owner, settings.coordination->promotions);
     }
-    control_service control(settings.control, fleet, std::move(orders));
+    control_service control(settings.control, fleet, orders);
     auto started = fleet.start([&](fleet_message it) { control.receive(std::move(it)); });
     if (!succeeded(started)) {
         return fail(failure_of(started));
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -56,7 +56,8 @@
 
 }  // namespace
 
-control_service::control_service(control_options options, fleet_node& fleet, platform_orders orders)
+control_service::control_service(control_options options, fleet_node& fleet,
+                                 const platform_orders& orders)
     : options_(std::move(options)),
       fleet_(fleet),
       coordinator_(orders, [this](const registry_command& it) { propose_internal(it); }),
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -54,7 +54,7 @@
     using submit_handler = std::function<void(bool settled, const std::string& document)>;
 
     /// `orders` reaches the instances and the platform; without it no service is coordinated.
-    control_service(control_options options, fleet_node& fleet, platform_orders orders = {});
+    control_service(control_options options, fleet_node& fleet, const platform_orders& orders = {});
     ~control_service() override;
 
     /// Opens the data folder and begins to take part.
