--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -6,6 +6,9 @@
 #include <deque>
 #include <mutex>
 
+#include "base/log_budget.h"
+#include "base/metrics.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace balsamdrift {
@@ -19,6 +22,7 @@
     event_log_options options;
     std::deque<timeline_event> kept;
     std::uint64_t last_stamp = 0;
+    log_budget budget;
 };
 
 log_state& state()
@@ -85,6 +89,11 @@
     timeline_event event{.id = id, .fields = fields};
     log_state& it = state();
     const std::lock_guard lock(it.mutex);
+    if (!take_log_line(it.budget, {}, id, monotonic_clock::now())) {
+        count_metric("balsamdrift_dropped_log_lines_total",
+                     "event=\"" + std::string(row.name) + "\"");
+        return;
+    }
     event.stamp = advance_stamp(it);
     event.process = it.options.process;
     write_line(row.severity, format_line(row, event));
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -21,6 +21,8 @@
     duration longest_pause = milliseconds(1600);
     /// A replica that lacked a position is not asked for a later one before this.
     duration lagging_pause = milliseconds(100);
+    /// An instance whose queue is full is left alone for this long: a few of its statements end.
+    duration busy_pause = milliseconds(30);
     /// After a refusal for too many connections no further one is opened for this long.
     duration full_pause = milliseconds(300);
 };
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "pooling/session_service.h"
@@ -168,6 +170,9 @@
         case statement_error_code::too_many:
             pool.full_until = now + options_.pool.full_pause;
             break;
+        case statement_error_code::busy:
+            pool.paused_until = std::max(pool.paused_until, now + options_.pool.busy_pause);
+            break;
         case statement_error_code::misrouted: note_unreachable(pool, options_.pool, now); break;
         case statement_error_code::read_only:
             if (pool.info.instance == service.record.instance) {
@@ -243,8 +248,8 @@
     if (dispatch(session, service)) {
         return;
     }
-    // Every instance had its turn: the next round may ask them again.
-    if (pending.excluded.size() >= service.pools.size()) {
+    // Every instance that could serve it had its turn: the next round may ask them again.
+    if (needs_primary(session) || pending.excluded.size() >= service.pools.size()) {
         pending.excluded.clear();
     }
     enqueue(session, service);
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -30,6 +30,8 @@
     bool mute = false;
     log_position position{1, 100};
     std::map<std::string, std::string> items;
+    /// The next statements that it refuses because its queue is full.
+    int full_answers = 0;
     int connections = 0;
     int reads = 0;
 };
@@ -132,6 +134,10 @@
 
     statement_answer run_at(fake_instance& instance, fake_link& link, const statement& sent)
     {
+        if (instance.full_answers > 0) {
+            --instance.full_answers;
+            return refuse(statement_error_code::busy);
+        }
         const bool floored = sent.floor && instance.position < *sent.floor;
         if (floored) {
             return refuse(statement_error_code::lagging);
@@ -476,6 +482,17 @@
     CHECK(vm.instances["a"].reads + refused == 40);
 }
 
+TEST_CASE("a write that a full primary refuses is sent there again a little later", "[sessions]")
+{
+    vm_fixture vm;
+    vm.instances["a"].full_answers = 2;
+    const auto session = vm.open_session("strict");
+    const time_point before = vm.now;
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    CHECK(vm.now - before >= milliseconds(60));
+    CHECK(vm.now - before < milliseconds(300));
+}
+
 TEST_CASE("an instance that leaves gets no new work", "[sessions]")
 {
     vm_fixture vm;
