--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -129,7 +129,9 @@
     for (const instance_heartbeat& it : instances) {
         listed[it.instance] = &it;
     }
-    for (auto& [name, service] : services_) {
+    for (auto& entry : services_) {
+        const std::string& name = entry.first;
+        service_state& service = entry.second;
         std::vector<pooled_link_ptr> gone;
         for (auto& [instance, pool] : service.pools) {
             const auto it = listed.find(instance);
