--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -113,13 +113,19 @@
     log_event(event_id::statement_refused,
               {{"id", session.pending->sent.id},
                {"database", session.database},
-               {"customer", session.transaction ? session.transaction->customer : "-"},
+               {"customer", customer_of_key(session)},
                {"reason", reason},
                {"retry_after_ms", milliseconds_text(retry_after)},
                {"waited_ms", milliseconds_text(hooks_.now() - session.pending->arrived_at)},
                {"version", std::to_string(state_->declared.version)}});
 }
 
+std::string session_service::customer_of_key(const caller_session& session) const
+{
+    const auto holder = state_->declared.customer_of_key.find(session.key);
+    return holder == state_->declared.customer_of_key.end() ? "-" : holder->second;
+}
+
 void session_service::run(std::uint64_t session, statement sent, answer_handler on_answer)
 {
     caller_session* const it = find_session(session);
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -184,6 +184,8 @@
     void check_pending(caller_session& session, time_point now);
     void check_links(time_point now);
     void check_settled(service_state& service, time_point now);
+    /// Customer that holds the session's key in the configuration in force, or `-`.
+    std::string customer_of_key(const caller_session& session) const;
     void log_refusal(const caller_session& session, const std::string& reason,
                      duration retry_after);
 
