Make one name of a phase serve, drop parameters that nothing used

Cause: reading the change as a newcomer: the names of a primary's phases stood twice, three functions of the sessions took arguments that they ignored.

Behaviour stays as it was.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -15,16 +15,6 @@
 /// entries without demand keep depends on it.
 constexpr double usual_instance_load = 40;
 
-const char* phase_name(primary_phase phase)
-{
-    switch (phase) {
-        case primary_phase::serving: return "serving";
-        case primary_phase::suspended: return "suspended";
-        case primary_phase::chosen: return "chosen";
-    }
-    return "";
-}
-
 std::string milliseconds_text(duration span)
 {
     return std::to_string(to_milliseconds(span).count());
@@ -170,7 +160,7 @@
                 log_event(event_id::primary_phase_proposed,
                           {{"service", service},
                            {"instance", it.instance},
-                           {"phase", phase_name(it.phase)},
+                           {"phase", to_string(it.phase)},
                            {"planned", it.planned ? "yes" : "no"},
                            {"previous", record.instance},
                            {"epoch", std::to_string(record.epoch)},
--- a/core/registry/primary_record.h
+++ b/core/registry/primary_record.h
@@ -16,6 +16,17 @@
     chosen,
 };
 
+/// Name of a phase, for logs.
+inline const char* to_string(primary_phase phase)
+{
+    switch (phase) {
+        case primary_phase::serving: return "serving";
+        case primary_phase::suspended: return "suspended";
+        case primary_phase::chosen: return "chosen";
+    }
+    return "";
+}
+
 /// Which instance of a service may act as primary. Entries send work to a primary only while its
 /// record is serving and their lease runs.
 struct primary_record {
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -158,7 +158,10 @@
     switch (sent.kind) {
         case statement_kind::set_value: session.values[sent.name] = sent.argument; break;
         case statement_kind::prepare_read:
-        case statement_kind::prepare_write: prepare(session, sent); break;
+        case statement_kind::prepare_write:
+            session.prepared[sent.name] = {.writes = sent.kind == statement_kind::prepare_write,
+                                           .shape = sent.argument};
+            break;
         case statement_kind::deallocate:
             if (session.prepared.erase(sent.name) == 0) {
                 answer_error(session, statement_error_code::unknown_statement, sent.name);
@@ -170,12 +173,6 @@
     answer_success(session);
 }
 
-void session_service::prepare(caller_session& session, const statement& sent)
-{
-    session.prepared[sent.name] = {.writes = sent.kind == statement_kind::prepare_write,
-                                   .shape = sent.argument};
-}
-
 bool session_service::take_customer_token(caller_session& session, const std::string& customer)
 {
     const auto limits = state_->declared.customers.find(customer);
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -111,7 +111,6 @@
     void answer_success(caller_session& session);
     void answer_error(caller_session& session, statement_error_code code, const std::string& text);
     void run_local(caller_session& session);
-    void prepare(caller_session& session, const statement& sent);
     void begin_transaction(caller_session& session);
     void run_outside_transaction(caller_session& session);
     void run_inside_transaction(caller_session& session);
@@ -142,10 +141,8 @@
     void leave_queue(caller_session& session);
     void serve_queue(service_state& service);
     void start_on(caller_session& session, service_state& service, instance_pool& pool);
-    pooled_link_ptr take_link(const caller_session& session, service_state& service,
-                              instance_pool& pool);
-    pooled_link_ptr open_link(service_state& service, instance_pool& pool,
-                              const std::string& customer);
+    pooled_link_ptr take_link(const caller_session& session, instance_pool& pool);
+    pooled_link_ptr open_link(instance_pool& pool, const std::string& customer);
     void set_up_link(caller_session& session, pooled_link& link);
     void send_main(caller_session& session, pooled_link& link);
     void send(pooled_link& link, const statement& it, answer_purpose purpose);
@@ -158,8 +155,7 @@
                           const statement_answer& it, answer_purpose purpose);
     void on_main_answer(caller_session& session, const pooled_link_ptr& link,
                         const statement_answer& it);
-    void on_success(caller_session& session, const pooled_link_ptr& link,
-                    const statement_answer& it);
+    void on_success(caller_session& session, const statement_answer& it);
     void on_error(caller_session& session, const pooled_link_ptr& link, const statement_answer& it);
     void note_position(service_state& service, instance_pool& pool, const statement_answer& it,
                        const expected_answer& expected);
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -118,15 +118,14 @@
                                      const statement_answer& it)
 {
     if (is_success(it)) {
-        on_success(session, link, it);
+        on_success(session, it);
     }
     else {
         on_error(session, link, it);
     }
 }
 
-void session_service::on_success(caller_session& session, const pooled_link_ptr& link,
-                                 const statement_answer& it)
+void session_service::on_success(caller_session& session, const statement_answer& it)
 {
     caller_transaction& transaction = *session.transaction;
     service_state& service = services_[transaction.route.service];
@@ -155,7 +154,6 @@
         end_transaction(session);
         out.state = session_state::idle;
     }
-    (void)link;
     answer(session, out);
 }
 
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -238,8 +238,7 @@
     }
 }
 
-pooled_link_ptr session_service::open_link(service_state&, instance_pool& pool,
-                                           const std::string& customer)
+pooled_link_ptr session_service::open_link(instance_pool& pool, const std::string& customer)
 {
     const time_point now = hooks_.now();
     auto link = std::make_shared<pooled_link>(pooled_link{.number = next_link_++,
@@ -275,8 +274,7 @@
     return link;
 }
 
-pooled_link_ptr session_service::take_link(const caller_session& session, service_state& service,
-                                           instance_pool& pool)
+pooled_link_ptr session_service::take_link(const caller_session& session, instance_pool& pool)
 {
     const statement& sent = session.pending->sent;
     std::string prepared;
@@ -289,7 +287,7 @@
     if (static_cast<int>(pool.links.size()) >= share_of(pool)) {
         drop_link(find_replaceable(pool));
     }
-    return open_link(service, pool, customer_of(session));
+    return open_link(pool, customer_of(session));
 }
 
 void session_service::send(pooled_link& link, const statement& it, answer_purpose purpose)
@@ -328,7 +326,7 @@
     const time_point now = hooks_.now();
     pending_statement& pending = *session.pending;
     caller_transaction& transaction = *session.transaction;
-    const pooled_link_ptr link = take_link(session, service, pool);
+    const pooled_link_ptr link = take_link(session, pool);
     link->session = session.number;
     link->used_at = now;
     transaction.link = link;
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -7,16 +7,6 @@
 namespace balsamdrift {
 namespace {
 
-const char* phase_name(primary_phase phase)
-{
-    switch (phase) {
-        case primary_phase::serving: return "serving";
-        case primary_phase::suspended: return "suspended";
-        case primary_phase::chosen: return "chosen";
-    }
-    return "";
-}
-
 /// Demand is measured over spans of about this length.
 constexpr seconds demand_span(1);
 
@@ -55,7 +45,7 @@
 {
     log_event(event_id::primary_phase_entered, {{"service", name},
                                                 {"instance", record.instance},
-                                                {"phase", phase_name(record.phase)},
+                                                {"phase", to_string(record.phase)},
                                                 {"planned", record.planned ? "yes" : "no"},
                                                 {"epoch", std::to_string(record.epoch)},
                                                 {"generation", std::to_string(record.generation)}});
