Admit operations by tokens that entries ask the leader for

In the log of two entries all 556 refusals of the first 12 s are for the rate: 64 entries divide a customer's 26 operations a second, which leaves each 0.4 tokens a second and a bucket of one, while callers of one customer come in at a quarter of an operation a second on each. Shares by demand cannot help, since demand is that thin everywhere.

Ruled out: connections and overload (no refusal with these reasons in those logs).

Change: core/rates/token_pool divides each customer's rate at the leader, operation by operation; core/rates/token_stock keeps spare tokens at the entries for a time without control and lets a caller wait one round trip when there is none. Kept tokens and the pool's bucket together stay within what a window allows beyond the rate (settings coordination.rates), so the limit holds whatever gets lost: a property test over lost answers, restarts and elections. Shares of rates are gone from reports and grants.

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t shortest_secret = 16;
 constexpr std::int64_t most_threads = 64;
 constexpr std::int64_t most_disks_lost = 4;
+
+/// Larger values are taken for mistakes.
+constexpr double most_rate_slack = 10000;
 constexpr std::int64_t kibibyte = 1024;
 constexpr std::int64_t mebibyte = kibibyte * kibibyte;
 constexpr std::int64_t largest_body = 64 * mebibyte;
@@ -90,6 +93,16 @@
     return all;
 }
 
+token_pool_options read_rates(settings_reader in)
+{
+    token_pool_options rates;
+    rates.window = in.span("window", rates.window);
+    rates.overage = in.real("overage", rates.overage, 0, 1);
+    rates.slack = in.real("slack", rates.slack, 0, most_rate_slack);
+    (void)in.finish();
+    return rates;
+}
+
 coordination_settings read_coordination(settings_reader in, control_options& control,
                                         const endpoint& fleet_listen)
 {
@@ -99,6 +112,9 @@
     control.disks_lost_at_once =
         static_cast<std::size_t>(in.number("disks_lost_at_once", 1, 0, most_disks_lost));
     control.may_form = in.flag("first_start", false);
+    if (in.has("rates")) {
+        control.rates = read_rates(in.section("rates"));
+    }
     control.assigns_owners = false;
     for (const std::string& it : fleet_addresses(in.addresses("seed_hosts"), fleet_listen)) {
         control.members.push_back({{}, it});
--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <sstream>
 
 namespace balsamdrift {
 namespace {
@@ -212,6 +213,24 @@
     return value_of(parsed);
 }
 
+double settings_reader::real(const std::string& key, double otherwise, double low, double high)
+{
+    const YAML::Node value = take(key, false);
+    if (!value.IsDefined()) {
+        return otherwise;
+    }
+    double parsed = 0;
+    const bool number = value.IsScalar() && YAML::convert<double>::decode(value, parsed);
+    // A number that is no number compares false with everything.
+    if (!number || !(parsed >= low && parsed <= high)) {
+        std::ostringstream expected;
+        expected << "a number from " << low << " to " << high;
+        report_problem(value, key, expected.str());
+        return otherwise;
+    }
+    return parsed;
+}
+
 duration settings_reader::span(const std::string& key, duration otherwise)
 {
     const YAML::Node value = take(key, false);
--- a/base/settings_reader.h
+++ b/base/settings_reader.h
@@ -45,6 +45,9 @@
     std::int64_t number(const std::string& key, std::int64_t otherwise, std::int64_t low,
                         std::int64_t high);
 
+    /// A number within [low, high], with or without a decimal point.
+    double real(const std::string& key, double otherwise, double low, double high);
+
     /// A span with its unit, such as `250ms`, `2s` or `1m`.
     duration span(const std::string& key, duration otherwise);
 
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -6,6 +6,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "core/consensus/membership.h"
+#include "core/rates/token_pool.h"
 
 namespace balsamdrift {
 
@@ -24,6 +25,8 @@
     bool assigns_owners = true;
     /// Disks that may be lost at once: an acknowledged change is on one more.
     std::size_t disks_lost_at_once = 0;
+    /// How far customers' operations may go beyond their limits, and over which window.
+    token_pool_options rates;
     /// False when the settings say that other members hold data already.
     bool may_form = true;
     /// A snapshot replaces the log when the log file is larger than this.
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -60,7 +60,8 @@
                                  const platform_orders& orders)
     : options_(std::move(options)),
       fleet_(fleet),
-      coordinator_(orders, [this](const registry_command& it) { propose_internal(it); }),
+      coordinator_(orders, options_.rates,
+                   [this](const registry_command& it) { propose_internal(it); }),
       coordinates_(orders.promote != nullptr)
 {
     connect(&timer_, &QTimer::timeout, this, &control_service::on_tick);
@@ -458,6 +459,20 @@
 
 void control_service::handle(const lease_grant&, const std::string&) {}
 
+void control_service::handle(const rate_question& it, const std::string& sender)
+{
+    const time_point now = monotonic_clock::now();
+    if (!holds_leadership(*consensus_, now)) {
+        fleet_.send(sender, fleet_channel::lease,
+                    encode_variant(lease_message(not_leader{leader_address()})));
+        return;
+    }
+    fleet_.send(sender, fleet_channel::lease,
+                encode_variant(lease_message(coordinator_.answer(registry_, it, now))));
+}
+
+void control_service::handle(const rate_answer&, const std::string&) {}
+
 void control_service::handle(const relayed_heartbeat& it, const std::string&)
 {
     if (holds_leadership(*consensus_, monotonic_clock::now())) {
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -127,6 +127,8 @@
     void handle(const relayed_goodbye& it, const std::string& sender);
     void handle(const relayed_lease_request& it, const std::string& sender);
     void handle(const relayed_lease_grant& it, const std::string& sender);
+    void handle(const rate_question& it, const std::string& sender);
+    void handle(const rate_answer& it, const std::string& sender);
     void take_lease_request(const lease_request& it, const std::string& sender,
                             const std::string& origin);
     void send_grant(const std::string& address, const std::string& origin,
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -15,6 +15,9 @@
 /// entries without demand keep depends on it.
 constexpr double usual_instance_load = 40;
 
+/// A customer that the leader does not know yet is asked about again after this.
+constexpr milliseconds unknown_customer_retry(100);
+
 std::string milliseconds_text(duration span)
 {
     return std::to_string(to_milliseconds(span).count());
@@ -22,8 +25,9 @@
 
 }  // namespace
 
-service_coordinator::service_coordinator(platform_orders orders, proposer propose)
-    : orders_(std::move(orders)), propose_(std::move(propose))
+service_coordinator::service_coordinator(platform_orders orders, token_pool_options rates,
+                                         proposer propose)
+    : orders_(std::move(orders)), propose_(std::move(propose)), rates_(rates)
 {
 }
 
@@ -31,8 +35,8 @@
 {
     directory_ = {};
     changes_.clear();
-    rate_allotments_ = {.entries = {}, .began_at = now};
-    connection_allotments_ = rate_allotments_;
+    connection_allotments_ = {.entries = {}, .began_at = now};
+    tokens_ = {.customers = {}, .began_at = now};
     term_ = term;
 }
 
@@ -65,8 +69,8 @@
 
 void service_coordinator::release(const std::string& entry)
 {
-    release_shares(rate_allotments_, entry);
     release_shares(connection_allotments_, entry);
+    forget_entry(tokens_, entry);
 }
 
 const instance_heartbeat* service_coordinator::find(const std::string& instance) const
@@ -100,10 +104,6 @@
                               now);
         }
     }
-    std::map<std::string, double> rates;
-    for (const auto& [name, customer] : view.state.declared.customers) {
-        rates[name] = customer.rate;
-    }
     std::map<std::string, double> connections;
     for (const auto& [name, it] : directory_.instances) {
         connections[name] = usual_instance_load;
@@ -111,8 +111,6 @@
     const std::size_t entries = view.state.entries.size();
     entry_instructions answer;
     answer.entry_count = static_cast<std::uint32_t>(entries);
-    answer.rates = grant_shares(rate_allotments_, {}, entry.name, entry.incarnation, report.rates,
-                                rates, entries, now);
     answer.connections =
         grant_shares(connection_allotments_, {.reserve = 0}, entry.name, entry.incarnation,
                      report.connections, connections, entries, now);
@@ -120,6 +118,25 @@
     return answer;
 }
 
+rate_answer service_coordinator::answer(const registry& state, const rate_question& question,
+                                        time_point now)
+{
+    rate_answer out{.entry = question.entry, .origin = question.origin, .number = question.number};
+    for (const auto& [name, ask] : question.asks) {
+        const auto customer = state.declared.customers.find(name);
+        if (customer == state.declared.customers.end()) {
+            // The entry knows an older or a newer configuration; a limit that is not known here
+            // cannot be kept here.
+            out.shares[name] = {.retry_after_ms = unknown_customer_retry.count()};
+            continue;
+        }
+        const bucket_limits limits{.rate = customer->second.rate, .burst = customer->second.burst};
+        out.shares[name] =
+            give_tokens(tokens_, rates_, name, limits, question.entry.name, ask, now);
+    }
+    return out;
+}
+
 void service_coordinator::advance_services(const coordinator_view& view, time_point now)
 {
     drop_silent(directory_, {}, now);
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -9,8 +9,9 @@
 #include "core/failover/primary_change.h"
 #include "core/instances/instance_directory.h"
 #include "core/rates/allotment.h"
+#include "core/rates/token_pool.h"
 #include "core/registry/registry.h"
-#include "fleet/entry_report.h"
+#include "fleet/lease_message.h"
 
 namespace balsamdrift {
 
@@ -31,7 +32,7 @@
 public:
     using proposer = std::function<void(const registry_command&)>;
 
-    service_coordinator(platform_orders orders, proposer propose);
+    service_coordinator(platform_orders orders, token_pool_options rates, proposer propose);
 
     /// Forgets everything: a leadership began.
     void begin(time_point now, std::uint64_t term);
@@ -49,6 +50,9 @@
     entry_instructions instruct(const coordinator_view& view, const replica_id& entry,
                                 const entry_report& report, time_point now);
 
+    /// Gives an entry tokens of the customers' rates.
+    rate_answer answer(const registry& state, const rate_question& question, time_point now);
+
     /// Goes on with every service.
     void advance_services(const coordinator_view& view, time_point now);
 
@@ -69,7 +73,8 @@
     proposer propose_;
     instance_directory directory_;
     std::map<std::string, primary_change> changes_;
-    allotment_table rate_allotments_;
+    token_pool_options rates_;
+    token_pool tokens_;
     allotment_table connection_allotments_;
     std::uint64_t term_ = 0;
 };
--- a/core/rates/allotment.h
+++ b/core/rates/allotment.h
@@ -9,8 +9,8 @@
 
 namespace balsamdrift {
 
-/// Parts of what is divided among the entries, by name, each between 0 and 1. Customers' rates and
-/// instances' connections are divided the same way.
+/// Parts of what is divided among the entries, by name, each between 0 and 1. Instances'
+/// connections are divided by it.
 using share_parts = std::map<std::string, double>;
 
 /// The parts that an entry may use, and the number of the grant that they came with.
--- a/core/rates/token_bucket.cpp
+++ b/core/rates/token_bucket.cpp
@@ -36,6 +36,12 @@
     bucket.tokens = std::min(bucket.tokens, limits.burst);
 }
 
+double tokens_left(token_bucket& bucket, time_point now)
+{
+    refill(bucket, now);
+    return bucket.tokens;
+}
+
 std::variant<token_taken, token_refused> take_token(token_bucket& bucket, time_point now)
 {
     refill(bucket, now);
--- a/core/rates/token_bucket.h
+++ b/core/rates/token_bucket.h
@@ -33,6 +33,9 @@
 /// Puts changed limits in force; tokens above the new burst are dropped.
 void change_limits(token_bucket& bucket, const bucket_limits& limits, time_point now);
 
+/// Tokens that are there now.
+double tokens_left(token_bucket& bucket, time_point now);
+
 /// One token was taken.
 struct token_taken {};
 
--- /dev/null
+++ b/core/rates/token_stock.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/time.h"
+#include "core/rates/token_pool.h"
+
+namespace balsamdrift {
+
+/// Settings of what an entry keeps of customers' tokens.
+struct token_stock_options {
+    /// Tokens are kept for this long a time without control, at the usual demand.
+    duration spare_span = milliseconds(2500);
+    /// Kept tokens are dropped this long after control last confirmed them. Control forgets them
+    /// no sooner, since it counts from when it heard the question.
+    duration spare_lifetime = seconds(5);
+    /// A question without an answer is asked again after this: several round trips between regions.
+    duration ask_again = milliseconds(150);
+    /// What entries keep is filled up in questions this far apart, for all customers together.
+    duration refill_pause = milliseconds(100);
+    /// A caller waits this long for a token at most; control then has not answered two questions.
+    duration patience = milliseconds(300);
+    /// Callers that control was too silent for come back after this: an election takes about that.
+    duration silent_retry = milliseconds(500);
+    /// While control has no tokens of a customer, it is asked again this often at most.
+    duration most_empty_span = milliseconds(100);
+    /// Demand is averaged over this span.
+    duration demand_span = seconds(3);
+};
+
+/// What an entry has of one customer's tokens.
+struct customer_stock {
+    std::uint32_t spare = 0;
+    time_point spare_until{};
+    /// Control had no token left; it is not asked again before this.
+    time_point empty_until{};
+    /// When control expected the next token, from when it said so.
+    duration empty_wait{};
+    /// Operations per second lately, as of `demand_at`.
+    double demand = 0;
+    time_point demand_at{};
+    /// Callers that wait for a token, first come, first served.
+    std::deque<std::pair<std::uint64_t, time_point>> waiting;
+};
+
+/// An entry's tokens of all customers. Without an answer of control it lives on what it kept.
+struct token_stock {
+    std::map<std::string, customer_stock> customers;
+    /// Customers of which control is to be asked next.
+    std::set<std::string> due;
+    /// When control was asked last.
+    time_point last_asked_at{};
+    /// The newest question; answers to earlier ones are void.
+    std::uint64_t question = 0;
+    /// When it was sent, while it has no answer.
+    std::optional<time_point> asked_at;
+    /// Customers that it was about.
+    std::set<std::string> asked;
+    /// Since when control has not answered, if it was asked.
+    std::optional<time_point> silent_since;
+};
+
+/// The caller waits until control has answered.
+struct token_awaited {};
+
+/// Takes a token of the customer for a caller, lets the caller wait for one, or refuses.
+std::variant<token_taken, token_awaited, token_refused>
+take_token(token_stock& stock, const token_stock_options& options, const std::string& customer,
+           std::uint64_t caller, time_point now);
+
+/// The next question to control, numbered by `stock.question`; empty while there is none to ask.
+token_asks next_question(token_stock& stock, const token_stock_options& options, time_point now);
+
+/// What became of a caller that waited.
+struct token_decision {
+    std::uint64_t caller = 0;
+    std::string customer;
+    /// When to come back, for a caller that got no token.
+    std::optional<duration> retry_after;
+};
+
+/// Takes over control's answer and says which callers go on.
+std::vector<token_decision> adopt_answer(token_stock& stock, const token_stock_options& options,
+                                         std::uint64_t question, const token_shares& shares,
+                                         time_point now);
+
+/// Refuses callers that have waited too long.
+std::vector<token_decision> refuse_overdue(token_stock& stock, const token_stock_options& options,
+                                           time_point now);
+
+/// Drops what is kept of a customer whose limits changed.
+void drop_spare(token_stock& stock, const std::string& customer);
+
+}  // namespace balsamdrift
--- /dev/null
+++ b/core/tests/token_pool_test.cpp
@@ -0,0 +1,252 @@
+#include "core/rates/token_pool.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <rapidcheck/catch.h>
+
+#include "core/rates/token_stock.h"
+
+using namespace balsamdrift;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+/// An answer on its way to an entry.
+struct sent_answer {
+    std::string entry;
+    std::uint64_t question = 0;
+    token_shares shares;
+    time_point arrives_at{};
+};
+
+/// Control and entries that divide one customer's rate, with a virtual clock. Questions arrive at
+/// once; answers take their time or get lost.
+struct fleet_fixture {
+    bucket_limits limits{.rate = 26, .burst = 26};
+    token_pool_options options{.overage = 0.1, .slack = 20};
+    token_stock_options stock_options;
+    time_point now = start;
+    token_pool pool{.customers = {}, .began_at = start};
+    std::map<std::string, token_stock> entries;
+    std::deque<sent_answer> answers;
+    std::deque<time_point> admitted;
+    int refused = 0;
+    bool control_up = true;
+    milliseconds delay{12};
+    std::uint64_t next_caller = 1;
+
+    void note(const std::vector<token_decision>& decisions)
+    {
+        for (const token_decision& it : decisions) {
+            if (it.retry_after) {
+                ++refused;
+            }
+            else {
+                admitted.push_back(now);
+            }
+        }
+    }
+
+    void arrive(const std::string& entry)
+    {
+        const auto res = take_token(entries[entry], stock_options, "agence", next_caller++, now);
+        if (std::holds_alternative<token_taken>(res)) {
+            admitted.push_back(now);
+        }
+        refused += std::holds_alternative<token_refused>(res) ? 1 : 0;
+    }
+
+    void ask(const std::string& entry, bool answer_lost)
+    {
+        token_stock& stock = entries[entry];
+        const token_asks asks = next_question(stock, stock_options, now);
+        if (asks.empty() || !control_up) {
+            return;
+        }
+        token_shares shares;
+        for (const auto& [name, it] : asks) {
+            shares[name] = give_tokens(pool, options, name, limits, entry, it, now);
+        }
+        if (!answer_lost) {
+            answers.push_back({entry, stock.question, std::move(shares), now + delay});
+        }
+    }
+
+    void deliver()
+    {
+        std::deque<sent_answer> later;
+        for (sent_answer& it : std::exchange(answers, {})) {
+            if (it.arrives_at > now) {
+                later.push_back(std::move(it));
+                continue;
+            }
+            note(adopt_answer(entries[it.entry], stock_options, it.question, it.shares, now));
+        }
+        answers = std::move(later);
+        for (auto& [name, it] : entries) {
+            note(refuse_overdue(it, stock_options, now));
+        }
+    }
+
+    void pass(milliseconds span)
+    {
+        const time_point end = now + span;
+        while (now < end) {
+            now += milliseconds(10);
+            deliver();
+            for (auto& [name, it] : entries) {
+                ask(name, false);
+            }
+        }
+    }
+
+    /// Most operations that were admitted within one window.
+    double busiest_window() const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t n = 0; n < admitted.size(); ++n) {
+            while (admitted[n] - admitted[first] > options.window) {
+                ++first;
+            }
+            most = std::max(most, n - first + 1);
+        }
+        return static_cast<double>(most);
+    }
+
+    double allowed() const
+    {
+        const double seconds_long = std::chrono::duration<double>(options.window).count();
+        return (limits.rate * seconds_long + limits.burst) * (1 + options.overage) + options.slack;
+    }
+};
+
+}  // namespace
+
+TEST_CASE("a customer whose callers are spread over many entries gets its whole rate", "[rates]")
+{
+    // 64 entries see a quarter of an operation a second each: two thirds of the customer's rate.
+    // Divided evenly, each entry would have 0.4 tokens a second and refuse a third of them.
+    fleet_fixture fleet;
+    for (int n = 0; n < 64; ++n) {
+        fleet.entries["e" + std::to_string(n)];
+    }
+    fleet.pass(milliseconds(1000));
+    std::uint64_t random = 7;
+    for (int n = 0; n < 600; ++n) {
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        fleet.arrive("e" + std::to_string((random >> 33) % 64));
+        fleet.pass(milliseconds(60));
+    }
+    fleet.pass(milliseconds(500));
+    CHECK(fleet.refused == 0);
+    CHECK(fleet.admitted.size() == 600);
+}
+
+TEST_CASE("kept tokens carry the usual load through two seconds without control", "[rates]")
+{
+    fleet_fixture fleet;
+    fleet.limits = {.rate = 136, .burst = 136};
+    for (int n = 0; n < 6; ++n) {
+        fleet.entries["e" + std::to_string(n)];
+    }
+    // The rate is 1.6 times what callers usually ask for.
+    const auto load = [&](duration span) {
+        double owed = 0;
+        int next = 0;
+        for (const time_point end = fleet.now + span; fleet.now < end;) {
+            for (owed += 0.85; owed >= 1; owed -= 1) {
+                fleet.arrive("e" + std::to_string(next++ % 6));
+            }
+            fleet.pass(milliseconds(10));
+        }
+    };
+    load(seconds(10));
+    fleet.refused = 0;
+    fleet.control_up = false;
+    load(seconds(2));
+    CHECK(fleet.refused == 0);
+}
+
+TEST_CASE("a customer far beyond its limit is held to it on all entries together", "[rates]")
+{
+    fleet_fixture fleet;
+    for (int n = 0; n < 64; ++n) {
+        fleet.entries["e" + std::to_string(n)];
+    }
+    fleet.pass(milliseconds(3000));
+    for (int n = 0; n < 2000; ++n) {
+        fleet.arrive("e" + std::to_string(n * 37 % 64));
+        if (n % 2 == 0) {
+            fleet.pass(milliseconds(10));
+        }
+    }
+    CHECK(fleet.busiest_window() <= fleet.allowed());
+    // What the limit allows over these ten seconds is given out as well.
+    CHECK(static_cast<double>(fleet.admitted.size()) >= fleet.limits.rate * 10 * 0.95);
+}
+
+TEST_CASE("the limit holds in every window, whatever gets lost and whoever leads", "[rates]")
+{
+    rc::check([] {
+        fleet_fixture fleet;
+        fleet.limits.rate = *rc::gen::inRange(2, 80);
+        fleet.limits.burst = *rc::gen::inRange(1, 120);
+        const int entries = *rc::gen::inRange(1, 9);
+        const int steps = *rc::gen::inRange(50, 600);
+        for (int n = 0; n < steps; ++n) {
+            const std::string entry = "e" + std::to_string(*rc::gen::inRange(0, entries));
+            const int callers = *rc::gen::inRange(0, 4);
+            for (int caller = 0; caller < callers; ++caller) {
+                fleet.arrive(entry);
+            }
+            fleet.ask(entry, *rc::gen::inRange(0, 4) == 0);
+            fleet.now += milliseconds(*rc::gen::inRange(0, 60));
+            fleet.deliver();
+            const int trouble = *rc::gen::inRange(0, 60);
+            if (trouble == 0) {
+                // An election: the next leader knows nothing of what was given.
+                fleet.now += milliseconds(600);
+                fleet.pool = {.customers = {}, .began_at = fleet.now};
+            }
+            else if (trouble == 1) {
+                // A process restarts and has nothing.
+                fleet.entries[entry] = {.question = 1'000'000U * static_cast<unsigned>(n + 1)};
+            }
+        }
+        RC_ASSERT(fleet.busiest_window() <= fleet.allowed());
+    });
+}
+
+TEST_CASE("callers that come back are told to come one after the other", "[rates]")
+{
+    token_stock stock;
+    const token_stock_options options;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        CHECK(
+            std::holds_alternative<token_awaited>(take_token(stock, options, "agence", n, start)));
+    }
+    REQUIRE(next_question(stock, options, start).at("agence").waiting == 3);
+    const auto decided = adopt_answer(stock, options, stock.question,
+                                      {{"agence", {.waiting = 1, .retry_after_ms = 40}}}, start);
+    REQUIRE(decided.size() == 3);
+    CHECK_FALSE(decided[0].retry_after);
+    CHECK(decided[1].retry_after == duration(milliseconds(40)));
+    CHECK(decided[2].retry_after == duration(milliseconds(80)));
+}
+
+TEST_CASE("an answer to an earlier question changes nothing", "[rates]")
+{
+    token_stock stock;
+    const token_stock_options options;
+    (void)take_token(stock, options, "agence", 1, start);
+    (void)next_question(stock, options, start);
+    const std::uint64_t first = stock.question;
+    (void)next_question(stock, options, start + milliseconds(200));
+    REQUIRE(stock.question != first);
+    CHECK(adopt_answer(stock, options, first, {{"agence", {.waiting = 1, .spare = 5}}},
+                       start + milliseconds(210))
+              .empty());
+    CHECK(stock.customers["agence"].spare == 0);
+}
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -131,13 +131,42 @@
 void lease_client::handle(const lease_request& it, const std::string& sender)
 {
     // Another entry is cut off from control; this one passes its question on if it is not.
-    const bool direct = !leader_.empty() && is_control(leader_) &&
-                        answered_at_ >= asked_at_ - options_.renew_interval;
-    if (direct) {
+    if (reaches_control()) {
         send(leader_, relayed_lease_request{sender, it});
     }
 }
 
+bool lease_client::reaches_control() const
+{
+    return !leader_.empty() && is_control(leader_) &&
+           answered_at_ >= asked_at_ - options_.renew_interval;
+}
+
+void lease_client::ask_tokens(std::uint64_t number, token_asks asks)
+{
+    if (given_back_ || leader_.empty()) {
+        return;
+    }
+    send(leader_, rate_question{view_.self(), {}, number, std::move(asks)});
+}
+
+void lease_client::handle(const rate_question& it, const std::string& sender)
+{
+    if (reaches_control()) {
+        send(leader_, rate_question{it.entry, sender, it.number, it.asks});
+    }
+}
+
+void lease_client::handle(const rate_answer& it, const std::string&)
+{
+    if (!it.origin.empty()) {
+        send(it.origin, rate_answer{it.entry, {}, it.number, it.shares});
+    }
+    else if (it.entry == view_.self() && options_.on_tokens) {
+        options_.on_tokens(it.number, it.shares);
+    }
+}
+
 void lease_client::handle(const relayed_lease_grant& it, const std::string&)
 {
     send(it.origin, it.grant);
--- a/entry/lease_client.h
+++ b/entry/lease_client.h
@@ -24,6 +24,8 @@
     /// Set by entries that run statements themselves: what control is told, and what it answers.
     std::function<entry_report()> make_report = {};
     std::function<void(const entry_instructions&)> on_instructions = {};
+    /// Control's answer to the question for tokens with this number.
+    std::function<void(std::uint64_t number, const token_shares&)> on_tokens = {};
 };
 
 /// Keeps the entry's lease and configuration: asks the control leader in turn, applies what it
@@ -44,6 +46,9 @@
     /// Asks again within a few milliseconds: control should hear something new.
     void ask_soon();
 
+    /// Asks control for tokens of customers' rates.
+    void ask_tokens(std::uint64_t number, token_asks asks);
+
     /// Tells control that this entry stops: it keeps its lease and gets no new items.
     void drain();
 
@@ -57,6 +62,9 @@
     void handle(const not_leader& it, const std::string& sender);
     void handle(const lease_request& it, const std::string& sender);
     void handle(const relayed_lease_grant& it, const std::string& sender);
+    void handle(const rate_question& it, const std::string& sender);
+    void handle(const rate_answer& it, const std::string& sender);
+    bool reaches_control() const;
     bool is_control(const std::string& address) const;
     void ask_through_others(const lease_request& request);
     template<class Other>
--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -24,7 +24,9 @@
                  .open = make_line_opener(&owner_),
                  .configuration = [this] { return view_.state(); },
                  .holds_lease = [this](time_point now) { return view_.holds_lease(now); },
-                 .report_soon = [this] { lease_->ask_soon(); }}),
+                 .report_soon = [this] { lease_->ask_soon(); },
+                 .ask_tokens = [this](std::uint64_t number,
+                                      const token_asks& it) { lease_->ask_tokens(number, it); }}),
       front_(options_.statements, sessions_),
       readiness_(options_.readiness, make_readiness_handler([this] { return is_ready(); }))
 {
@@ -52,7 +54,9 @@
             .renew_interval = options_.lease_renew_interval,
             .make_report = [this] { return sessions_.report(); },
             .on_instructions =
-                [this](const entry_instructions& it) { sessions_.on_instructions(it); }},
+                [this](const entry_instructions& it) { sessions_.on_instructions(it); },
+            .on_tokens = [this](std::uint64_t number,
+                                const token_shares& it) { sessions_.on_tokens(number, it); }},
         view_, fleet_);
     QObject::connect(&timer_, &QTimer::timeout, &owner_, [this] { tick(); });
     timer_.start(tick_interval);
--- a/fleet/entry_report.h
+++ b/fleet/entry_report.h
@@ -29,12 +29,10 @@
     /// No statement runs here under a record of a primary older than this registry index.
     std::uint64_t settled_index = 0;
     std::vector<primary_evidence> primaries;
-    /// Operations per second that callers asked for, by customer.
-    share_claim rates;
     /// Statements and transactions per second that were sent to each instance.
     share_claim connections;
     std::uint64_t directory_version = 0;
-    MSGPACK_DEFINE(settled_index, primaries, rates, connections, directory_version)
+    MSGPACK_DEFINE(settled_index, primaries, connections, directory_version)
 };
 
 /// What control answers to it.
@@ -43,16 +41,13 @@
     std::vector<std::string> control;
     /// Entries that may open connections to instances.
     std::uint32_t entry_count = 0;
-    /// Parts of the customers' rates and bursts.
-    share_grant rates;
     /// Parts of the connections that instances take beyond one for each entry.
     share_grant connections;
     /// The instances, when the entry has another version of the directory.
     std::uint64_t directory_version = 0;
     bool has_directory = false;
     std::vector<instance_heartbeat> instances;
-    MSGPACK_DEFINE(control, entry_count, rates, connections, directory_version, has_directory,
-                   instances)
+    MSGPACK_DEFINE(control, entry_count, connections, directory_version, has_directory, instances)
 };
 
 }  // namespace balsamdrift
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/consensus/log_entry.h"
+#include "core/rates/token_pool.h"
 #include "core/registry/records.h"
 #include "fleet/entry_report.h"
 
@@ -105,9 +106,29 @@
     MSGPACK_DEFINE(origin, grant)
 };
 
+/// An entry asks for tokens of customers' rates.
+struct rate_question {
+    replica_id entry;
+    /// Fleet address of the entry that asks, while another entry passes it on; otherwise empty.
+    std::string origin;
+    std::uint64_t number = 0;
+    token_asks asks;
+    MSGPACK_DEFINE(entry, origin, number, asks)
+};
+
+/// The leader's answer to it.
+struct rate_answer {
+    replica_id entry;
+    std::string origin;
+    std::uint64_t number = 0;
+    token_shares shares;
+    MSGPACK_DEFINE(entry, origin, number, shares)
+};
+
 /// Any message between entries and control, and between control members besides the log.
-using lease_message = std::variant<lease_request, lease_grant, not_leader, owner_command,
-                                   lease_return, relayed_heartbeat, relayed_command, relayed_answer,
-                                   relayed_goodbye, relayed_lease_request, relayed_lease_grant>;
+using lease_message =
+    std::variant<lease_request, lease_grant, not_leader, owner_command, lease_return,
+                 relayed_heartbeat, relayed_command, relayed_answer, relayed_goodbye,
+                 relayed_lease_request, relayed_lease_grant, rate_question, rate_answer>;
 
 }  // namespace balsamdrift
--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -18,6 +18,22 @@
 /// Hears the answer to one statement.
 using answer_handler = std::function<void(const statement_answer&)>;
 
+/// A transaction of a caller. It gets a connection with its first statement.
+struct caller_transaction {
+    bool read_only = false;
+    std::string begin_id;
+    /// The route as it was when the transaction began.
+    declared_route route;
+    std::string customer;
+    pooled_link_ptr link;
+    bool wrote = false;
+    /// The record of the primary that it began under, if it runs there.
+    std::uint64_t primary_epoch = 0;
+    bool under_lease = false;
+    /// The connection or the right to use it was lost: nothing of it is kept.
+    bool lost = false;
+};
+
 /// A statement that a caller waits for.
 struct pending_statement {
     statement sent;
@@ -27,6 +43,8 @@
     time_point deadline{};
     /// Place in the service's queue, while it waits there.
     std::optional<std::uint64_t> queue_number;
+    /// The transaction that begins once the customer's rate admits it.
+    std::optional<caller_transaction> opening;
     int attempts = 0;
     /// Instances that could not run it.
     std::set<std::string> excluded;
@@ -38,22 +56,6 @@
     bool main_sent = false;
 };
 
-/// A transaction of a caller. It gets a connection with its first statement.
-struct caller_transaction {
-    bool read_only = false;
-    std::string begin_id;
-    /// The route as it was when the transaction began.
-    declared_route route;
-    std::string customer;
-    pooled_link_ptr link;
-    bool wrote = false;
-    /// The record of the primary that it began under, if it runs there.
-    std::uint64_t primary_epoch = 0;
-    bool under_lease = false;
-    /// The connection or the right to use it was lost: nothing of it is kept.
-    bool lost = false;
-};
-
 /// What a prepared name of a session stands for.
 struct prepared_shape {
     bool writes = false;
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -173,70 +173,100 @@
     answer_success(session);
 }
 
-bool session_service::take_customer_token(caller_session& session, const std::string& customer)
+void session_service::refuse_for_rate(caller_session& session, duration retry_after)
 {
-    const auto limits = state_->declared.customers.find(customer);
-    if (limits == state_->declared.customers.end()) {
-        return true;
-    }
-    ++asked_[customer];
-    const time_point now = hooks_.now();
-    const auto share = rate_shares_.shares.find(customer);
-    const double part =
-        share == rate_shares_.shares.end() ? 1.0 / std::max(entry_count_, 1U) : share->second;
-    const bucket_limits own{.rate = std::max(limits->second.rate * part, 0.01),
-                            .burst = std::max(limits->second.burst * part, 1.0)};
-    auto [bucket, first] = buckets_.try_emplace(customer, make_spent_bucket(own, now));
-    if (first) {
-        bucket->second.tokens = std::min(own.burst, own.rate * options_.first_tokens_seconds + 1);
-    }
-    else if (bucket->second.limits != own) {
-        change_limits(bucket->second, own, now);
-    }
-    const auto res = take_token(bucket->second, now);
-    const auto* const refused = std::get_if<token_refused>(&res);
-    if (refused == nullptr) {
-        return true;
-    }
-    log_refusal(session, "rate", refused->retry_after);
+    log_refusal(session, "rate", retry_after);
     answer_error(session, statement_error_code::too_many,
-                 "retry-after-ms=" + milliseconds_text(refused->retry_after) +
+                 "retry-after-ms=" + milliseconds_text(retry_after) +
                      " the customer's rate is used up");
-    return false;
 }
 
-bool session_service::admit_operation(caller_session& session, declared_route& route,
-                                      std::string& customer)
+void session_service::admit_operation(caller_session& session)
 {
     const declared_configuration& conf = state_->declared;
     const auto found = conf.routes.find(session.database);
     if (found == conf.routes.end()) {
         log_refusal(session, "unknown_database", {});
         answer_error(session, statement_error_code::unknown_database, "no such database");
-        return false;
+        return;
     }
     const auto holder = conf.customer_of_key.find(session.key);
     if (holder == conf.customer_of_key.end() && !found->second.open_to_all) {
         log_refusal(session, "not_authorized", {});
         answer_error(session, statement_error_code::not_authorized, "the key is not known");
-        return false;
+        return;
+    }
+    const statement& sent = session.pending->sent;
+    const bool begins =
+        sent.kind == statement_kind::begin || sent.kind == statement_kind::begin_read_only;
+    session.pending->opening = caller_transaction{
+        .read_only = sent.kind == statement_kind::begin_read_only,
+        .begin_id = begins ? sent.id : std::string(),
+        .route = found->second,
+        .customer = holder == conf.customer_of_key.end() ? std::string() : holder->second};
+    const std::string& customer = session.pending->opening->customer;
+    if (!conf.customers.contains(customer)) {
+        start_operation(session);
+        return;
+    }
+    const auto res = take_token(tokens_, options_.rates, customer, session.number, hooks_.now());
+    if (const auto* const refused = std::get_if<token_refused>(&res)) {
+        refuse_for_rate(session, refused->retry_after);
+    }
+    else if (std::holds_alternative<token_taken>(res)) {
+        start_operation(session);
+    }
+    else {
+        ask_for_tokens(hooks_.now());
     }
-    route = found->second;
-    customer = holder == conf.customer_of_key.end() ? std::string() : holder->second;
-    return take_customer_token(session, customer);
 }
 
-void session_service::begin_transaction(caller_session& session)
+void session_service::start_operation(caller_session& session)
 {
-    caller_transaction fresh{.read_only =
-                                 session.pending->sent.kind == statement_kind::begin_read_only,
-                             .begin_id = session.pending->sent.id};
-    if (!admit_operation(session, fresh.route, fresh.customer)) {
+    session.transaction = std::exchange(session.pending->opening, std::nullopt);
+    if (!session.transaction->begin_id.empty()) {
+        session.state = session_state::in_transaction;
+        answer_success(session);
         return;
     }
-    session.transaction = std::move(fresh);
-    session.state = session_state::in_transaction;
-    answer_success(session);
+    session.pending->deadline =
+        session.pending->arrived_at + session.transaction->route.statement_timeout;
+    service_state& service = services_[session.transaction->route.service];
+    if (!dispatch(session, service)) {
+        enqueue(session, service);
+    }
+}
+
+void session_service::apply_decisions(const std::vector<token_decision>& decisions)
+{
+    for (const token_decision& it : decisions) {
+        caller_session* const session = find_session(it.caller);
+        // The caller may have left meanwhile.
+        if (session == nullptr || !session->pending || !session->pending->opening) {
+            continue;
+        }
+        if (it.retry_after) {
+            refuse_for_rate(*session, *it.retry_after);
+        }
+        else {
+            start_operation(*session);
+        }
+    }
+}
+
+void session_service::ask_for_tokens(time_point now)
+{
+    const token_asks asks = next_question(tokens_, options_.rates, now);
+    if (!asks.empty()) {
+        hooks_.ask_tokens(tokens_.question, asks);
+    }
+}
+
+void session_service::on_tokens(std::uint64_t number, const token_shares& shares)
+{
+    const time_point now = hooks_.now();
+    apply_decisions(adopt_answer(tokens_, options_.rates, number, shares, now));
+    ask_for_tokens(now);
 }
 
 void session_service::run_outside_transaction(caller_session& session)
@@ -244,7 +274,7 @@
     const statement& sent = session.pending->sent;
     switch (sent.kind) {
         case statement_kind::begin:
-        case statement_kind::begin_read_only: begin_transaction(session); return;
+        case statement_kind::begin_read_only:
         case statement_kind::read:
         case statement_kind::write:
         case statement_kind::execute: break;
@@ -259,17 +289,7 @@
         return;
     }
     // A single statement is a transaction of its own, without a beginning or an end on the wire.
-    caller_transaction single;
-    if (!admit_operation(session, single.route, single.customer)) {
-        return;
-    }
-    session.transaction = std::move(single);
-    session.pending->deadline =
-        session.pending->arrived_at + session.transaction->route.statement_timeout;
-    service_state& service = services_[session.transaction->route.service];
-    if (!dispatch(session, service)) {
-        enqueue(session, service);
-    }
+    admit_operation(session);
 }
 
 void session_service::run_inside_transaction(caller_session& session)
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -7,7 +7,7 @@
 #include <variant>
 
 #include "core/queueing/admission.h"
-#include "core/rates/token_bucket.h"
+#include "core/rates/token_stock.h"
 #include "core/registry/registry.h"
 #include "core/routing/placement.h"
 #include "fleet/entry_report.h"
@@ -46,8 +46,7 @@
     duration missing_grace = seconds(4);
     /// A new connection that is not accepted after this is given up.
     duration connect_timeout = milliseconds(400);
-    /// Part of a customer's rate that is there at once when an entry starts, in seconds of it.
-    double first_tokens_seconds = 0.5;
+    token_stock_options rates;
     pool_options pool;
     placement_options placement;
     admission_options admission;
@@ -64,6 +63,8 @@
     std::function<bool(time_point)> holds_lease;
     /// Control should hear the report soon.
     std::function<void()> report_soon;
+    /// Control is asked for tokens of customers' rates, under this number.
+    std::function<void(std::uint64_t number, const token_asks&)> ask_tokens;
 };
 
 /// Serves the sessions of callers over pooled connections to instances. Every caller's statement
@@ -88,6 +89,9 @@
     /// Control said what to do.
     void on_instructions(const entry_instructions& it);
 
+    /// Control answered the question for tokens with this number.
+    void on_tokens(std::uint64_t number, const token_shares& shares);
+
     /// Ends what is due; called every few milliseconds.
     void tick();
 
@@ -111,12 +115,15 @@
     void answer_success(caller_session& session);
     void answer_error(caller_session& session, statement_error_code code, const std::string& text);
     void run_local(caller_session& session);
-    void begin_transaction(caller_session& session);
     void run_outside_transaction(caller_session& session);
     void run_inside_transaction(caller_session& session);
     void run_in_failed_transaction(caller_session& session);
-    bool admit_operation(caller_session& session, declared_route& route, std::string& customer);
-    bool take_customer_token(caller_session& session, const std::string& customer);
+    void admit_operation(caller_session& session);
+    void start_operation(caller_session& session);
+    void refuse_for_rate(caller_session& session, duration retry_after);
+    void apply_decisions(const std::vector<token_decision>& decisions);
+    void ask_for_tokens(time_point now);
+    void drop_changed_limits(const std::map<std::string, declared_customer>& before);
     void end_transaction(caller_session& session);
     void lose_transaction(caller_session& session);
 
@@ -190,11 +197,8 @@
     std::shared_ptr<const registry> state_;
     std::map<std::uint64_t, std::unique_ptr<caller_session>> sessions_;
     std::map<std::string, service_state> services_;
-    std::map<std::string, token_bucket> buckets_;
-    std::map<std::string, std::uint64_t> asked_;
-    std::map<std::string, double> demand_;
+    token_stock tokens_;
     time_point demand_since_{};
-    share_grant rate_shares_;
     share_grant connection_shares_;
     std::map<std::string, double> connection_demand_;
     std::uint64_t directory_version_ = 0;
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -20,7 +21,8 @@
 
 void session_service::on_configuration()
 {
-    state_ = hooks_.configuration();
+    const auto before = std::exchange(state_, hooks_.configuration());
+    drop_changed_limits(before->declared.customers);
     for (const auto& [name, record] : state_->primaries) {
         service_state& service = services_[name];
         if (service.record != record) {
@@ -40,6 +42,16 @@
     }
 }
 
+void session_service::drop_changed_limits(const std::map<std::string, declared_customer>& before)
+{
+    for (const auto& [name, limits] : state_->declared.customers) {
+        const auto it = before.find(name);
+        if (it == before.end() || it->second != limits) {
+            drop_spare(tokens_, name);
+        }
+    }
+}
+
 void session_service::adopt_record(const std::string& name, service_state& service,
                                    const primary_record& record)
 {
@@ -194,7 +206,6 @@
 void session_service::on_instructions(const entry_instructions& it)
 {
     if (it.entry_count > 0) {
-        rate_shares_ = it.rates;
         connection_shares_ = it.connections;
         entry_count_ = it.entry_count;
     }
@@ -286,6 +297,8 @@
             check_pending(*session, now);
         }
     }
+    apply_decisions(refuse_overdue(tokens_, options_.rates, now));
+    ask_for_tokens(now);
     check_links(now);
     for (auto& [name, service] : services_) {
         check_settled(service, now);
@@ -306,10 +319,6 @@
     const auto smooth = [&](double& known, double count) {
         known += (count / span.count() - known) * demand_weight;
     };
-    for (const auto& [customer, limits] : state_->declared.customers) {
-        smooth(demand_[customer], static_cast<double>(asked_[customer]));
-    }
-    asked_.clear();
     for (auto& [name, service] : services_) {
         for (auto& [instance, pool] : service.pools) {
             smooth(connection_demand_[instance], pool.dispatched);
@@ -324,7 +333,6 @@
     const time_point now = hooks_.now();
     entry_report out{.settled_index = state_->index, .directory_version = directory_version_};
     measure_demand(now);
-    out.rates = {demand_, rate_shares_};
     out.connections = {connection_demand_, connection_shares_};
     for (const auto& [name, service] : services_) {
         if (service.settled_epoch < service.record.epoch) {
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -46,6 +46,8 @@
     std::vector<std::shared_ptr<fake_link>> links;
     std::deque<std::function<void()>> events;
     int reports = 0;
+    bool control_answers = true;
+    token_pool tokens;
     session_service sessions;
 
     vm_fixture()
@@ -55,7 +57,9 @@
                                    link_events it) { return open(target, std::move(it)); },
                     .configuration = [this] { return std::make_shared<const registry>(state); },
                     .holds_lease = [this](time_point) { return lease; },
-                    .report_soon = [this] { ++reports; }})
+                    .report_soon = [this] { ++reports; },
+                    .ask_tokens = [this](std::uint64_t number,
+                                         const token_asks& asks) { ask(number, asks); }})
     {
         state.index = 10;
         state.declared.version = 1;
@@ -69,13 +73,27 @@
         state.primaries["registre"] = {.instance = "a", .epoch = 10};
         sessions.on_configuration();
         sessions.on_instructions({.entry_count = 1,
-                                  .rates = {.shares = {{"agence", 1.0}, {"port", 1.0}}},
                                   .directory_version = 1,
                                   .has_directory = true,
                                   .instances = directory()});
         now += milliseconds(10);
     }
 
+    /// Control's part: answers at once from a pool of its own, unless it is silent.
+    void ask(std::uint64_t number, const token_asks& asks)
+    {
+        if (!control_answers) {
+            return;
+        }
+        token_shares shares;
+        for (const auto& [name, it] : asks) {
+            const declared_customer& limits = state.declared.customers.at(name);
+            shares[name] =
+                give_tokens(tokens, {}, name, {limits.rate, limits.burst}, "entry", it, now);
+        }
+        sessions.on_tokens(number, shares);
+    }
+
     static declared_route route(read_consistency consistency)
     {
         return {.service = "registre",
@@ -468,7 +486,7 @@
     CHECK(vm.instances["a"].reads == 1);
 }
 
-TEST_CASE("a customer beyond its part of the rate is refused before anything runs", "[sessions]")
+TEST_CASE("a customer beyond its rate is refused before anything runs", "[sessions]")
 {
     vm_fixture vm;
     vm.state.declared.customers["agence"] = {.rate = 10, .burst = 10};
@@ -482,6 +500,60 @@
     CHECK(vm.instances["a"].reads + refused == 40);
 }
 
+TEST_CASE("while control is silent callers live on kept tokens, and then hear at once",
+          "[sessions]")
+{
+    vm_fixture vm;
+    vm.state.declared.customers["agence"] = {.rate = 10, .burst = 10};
+    vm.sessions.on_configuration();
+    const auto session = vm.open_session("strict");
+    for (int n = 0; n < 25; ++n) {
+        vm.pass(milliseconds(200));
+        CHECK(is_success(vm.run(session, read_of("x"))));
+    }
+    vm.control_answers = false;
+    int served = 0;
+    for (int n = 0; n < 5; ++n) {
+        vm.pass(milliseconds(200));
+        served += is_success(vm.run(session, read_of("x"))) ? 1 : 0;
+    }
+    // A second without control at the usual demand is covered by what is kept.
+    CHECK(served == 5);
+    for (int n = 0; n < 20; ++n) {
+        (void)vm.run(session, read_of("x"));
+    }
+    const time_point before = vm.now;
+    CHECK(error_code_of(vm.run(session, read_of("x"))) == statement_error_code::too_many);
+    CHECK(vm.now == before);
+}
+
+TEST_CASE("a caller that waits for a token is served once control has one", "[sessions]")
+{
+    vm_fixture vm;
+    vm.control_answers = false;
+    const auto session = vm.open_session("strict");
+    vm.begin(session, read_of("x"));
+    vm.pass(milliseconds(100));
+    CHECK_FALSE(*vm.answered);
+    vm.control_answers = true;
+    vm.pass(milliseconds(200));
+    REQUIRE(*vm.answered);
+    CHECK(is_success(vm.last));
+}
+
+TEST_CASE("a caller that leaves while it waits for a token is forgotten", "[sessions]")
+{
+    vm_fixture vm;
+    vm.control_answers = false;
+    const auto session = vm.open_session("strict");
+    vm.begin(session, read_of("x"));
+    vm.sessions.close_session(session);
+    vm.control_answers = true;
+    vm.pass(milliseconds(500));
+    CHECK(vm.instances["a"].reads == 0);
+    CHECK_FALSE(*vm.answered);
+}
+
 TEST_CASE("a write that a full primary refuses is sent there again a little later", "[sessions]")
 {
     vm_fixture vm;
