Write the log on a thread of its own

Cause: a line was written by the thread that logged it, under the log's lock. A reader that stops reading the pipe would have stopped every thread that logs, callers' sessions included. The users ask that a process never blocks on its log.

Ruled out: a non-blocking descriptor, since it is shared with whoever inherited it.

The time in a line is the time of the event, not of its writing. At the end of a process the last lines are waited for, 200 ms at most.

Tests: a reader that never reads holds nobody up; order and completeness at the close.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -278,20 +278,22 @@
     QCoreApplication app(argc, argv);
     watch_signals();
     const auto& valid = std::get<daemon_settings>(settings);
-    return std::visit(
-        overloaded{
-            [](const control_settings& it) {
-                open_event_log({.process = it.common.name, .file = it.common.log_file});
-                return run_control(it);
-            },
-            [](const entry_settings& it) {
-                open_event_log({.process = it.common.name, .file = it.common.log_file});
-                return run_entry(it);
-            },
-            [](const statement_entry_settings& it) {
-                open_event_log({.process = it.common.name, .file = it.common.log_file});
-                return run_statement_entry(it);
-            },
-        },
-        valid);
+    const int code =
+        std::visit(overloaded{
+                       [](const control_settings& it) {
+                           open_event_log({.process = it.common.name, .file = it.common.log_file});
+                           return run_control(it);
+                       },
+                       [](const entry_settings& it) {
+                           open_event_log({.process = it.common.name, .file = it.common.log_file});
+                           return run_entry(it);
+                       },
+                       [](const statement_entry_settings& it) {
+                           open_event_log({.process = it.common.name, .file = it.common.log_file});
+                           return run_statement_entry(it);
+                       },
+                   },
+                   valid);
+    close_event_log();
+    return code;
 }
--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -3,9 +3,14 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <ctime>
 #include <deque>
+#include <iomanip>
+#include <memory>
 #include <mutex>
+#include <sstream>
 
+#include "base/line_writer.h"
 #include "base/log_budget.h"
 #include "base/metrics.h"
 
@@ -16,6 +21,9 @@
 
 constexpr unsigned counter_bits = 16;
 
+/// A process that ends waits this long for the reader of its last lines.
+constexpr milliseconds close_patience(200);
+
 /// Everything behind the functions of this file, under one lock.
 struct log_state {
     std::mutex mutex;
@@ -23,6 +31,8 @@
     std::deque<timeline_event> kept;
     std::uint64_t last_stamp = 0;
     log_budget budget;
+    /// Null until the log is opened and after it was closed: lines are written in place then.
+    std::unique_ptr<line_writer> writer;
 };
 
 log_state& state()
@@ -55,13 +65,42 @@
     return line;
 }
 
-void write_line(event_severity severity, const std::string& line)
+/// Local time with milliseconds, as of the event: the line may be written later.
+std::string time_text(std::uint64_t stamp)
+{
+    const auto moment = wall_clock_of(stamp);
+    const std::time_t second = std::chrono::system_clock::to_time_t(moment);
+    std::tm parts{};
+    (void)localtime_r(&second, &parts);
+    std::ostringstream text;
+    const auto ms = (stamp >> counter_bits) % 1000;
+    text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << '.' << std::setw(3) << std::setfill('0')
+         << ms;
+    return text.str();
+}
+
+void write_line(const log_line& line)
+{
+    switch (line.severity) {
+        case event_severity::info: LOG(INFO) << line.text; return;
+        case event_severity::warning: LOG(WARNING) << line.text; return;
+        case event_severity::error: LOG(ERROR) << line.text; return;
+    }
+}
+
+char severity_letter(event_severity severity)
 {
     switch (severity) {
-        case event_severity::info: LOG(INFO) << line; return;
-        case event_severity::warning: LOG(WARNING) << line; return;
-        case event_severity::error: LOG(ERROR) << line; return;
+        case event_severity::info: return 'I';
+        case event_severity::warning: return 'W';
+        case event_severity::error: return 'E';
     }
+    return '?';
+}
+
+void count_dropped(const event_description& row)
+{
+    count_metric("balsamdrift_dropped_log_lines_total", "event=\"" + std::string(row.name) + "\"");
 }
 
 }  // namespace
@@ -71,8 +110,7 @@
     state().options = options;
     el::Configurations conf;
     conf.setToDefault();
-    conf.setGlobally(el::ConfigurationType::Format,
-                     "%datetime{%Y-%M-%dT%H:%m:%s.%g} %levshort %msg");
+    conf.setGlobally(el::ConfigurationType::Format, "%msg");
     conf.setGlobally(el::ConfigurationType::ToFile, options.file.empty() ? "false" : "true");
     conf.setGlobally(el::ConfigurationType::ToStandardOutput,
                      options.file.empty() ? "true" : "false");
@@ -81,6 +119,19 @@
     }
     el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
     el::Loggers::reconfigureLogger("default", conf);
+    state().writer = std::make_unique<line_writer>(line_writer_options{}, write_line);
+}
+
+void close_event_log()
+{
+    std::unique_ptr<line_writer> writer;
+    {
+        const std::lock_guard lock(state().mutex);
+        writer = std::move(state().writer);
+    }
+    if (writer) {
+        writer->close(close_patience);
+    }
 }
 
 void log_event(event_id id, std::initializer_list<event_field> fields)
@@ -90,13 +141,19 @@
     log_state& it = state();
     const std::lock_guard lock(it.mutex);
     if (!take_log_line(it.budget, {}, id, monotonic_clock::now())) {
-        count_metric("balsamdrift_dropped_log_lines_total",
-                     "event=\"" + std::string(row.name) + "\"");
+        count_dropped(row);
         return;
     }
     event.stamp = advance_stamp(it);
     event.process = it.options.process;
-    write_line(row.severity, format_line(row, event));
+    log_line line{row.severity, time_text(event.stamp) + ' ' + severity_letter(row.severity) + ' ' +
+                                    format_line(row, event)};
+    if (!it.writer) {
+        write_line(line);
+    }
+    else if (!it.writer->push(std::move(line))) {
+        count_dropped(row);
+    }
     it.kept.push_back(std::move(event));
     if (it.kept.size() > it.options.kept_events) {
         it.kept.pop_front();
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -33,7 +33,11 @@
 /// Prepares logging for this process. Called once, before any other thread runs.
 void open_event_log(const event_log_options& options);
 
-/// Logs an event: one line in the log and one row on the time line. Safe from any thread.
+/// Writes the last lines. Called at the end of the process; later lines are written in place.
+void close_event_log();
+
+/// Logs an event: one line in the log and one row on the time line. Safe from any thread, and
+/// never waits for whoever reads the log.
 void log_event(event_id id, std::initializer_list<event_field> fields = {});
 
 /// The kept events whose stamp is greater than `after`, oldest first.
