Compress large commands of the log, and send a large change once

Cause (by reading, not measured): entries of the grown sites have links of 2 Mbit/s. A configuration of 1,600 routes is sent to each of 64 entries as its document and its parsed form together, and again with every question that an entry asks before it has arrived, which is every 200 ms.

Change: commands of 4 KiB and more are compressed once, when they are proposed; the whole registry is compressed once for each index. A change of 16 KiB and more that is on its way to an entry is not sent again for 1.5 s; what came after it follows behind it.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -2,9 +2,11 @@
 
 #include <QThread>
 #include <algorithm>
+#include <numeric>
 #include <random>
 
 #include "base/codec.h"
+#include "base/compression.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/random.h"
@@ -26,6 +28,12 @@
 /// Recent entries are kept up to this many bytes; an entry that lags further gets a whole registry.
 constexpr std::size_t kept_recent_bytes = std::size_t{2} * 1024 * 1024;
 
+/// A change of this size takes part of a second on the slowest links that entries have.
+constexpr std::size_t large_transfer_bytes = std::size_t{16} * 1024;
+
+/// A large change that is on its way to an entry is not sent again before this.
+constexpr milliseconds resend_pause(1500);
+
 /// Callers of the operators' interface move on after a second, so they hear before it.
 constexpr milliseconds submission_patience(850);
 
@@ -193,6 +201,7 @@
                           {{"term", std::to_string(it.term)}});
                 leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
                 coordinator_.begin(leases_.leading_since, it.term);
+                transfers_.clear();
                 if (!it.leads) {
                     fail_proposals();
                 }
@@ -274,7 +283,7 @@
 
 void control_service::propose(const registry_command& command, proposal_handler on_done)
 {
-    std::string data = encode_variant(command);
+    std::string data = encode_command(command);
     QMetaObject::invokeMethod(
         this,
         [this, data = std::move(data), on_done = std::move(on_done)] {
@@ -391,7 +400,7 @@
            .draining = it.draining,
            .settled_index = it.report.settled_index},
           options_.lease_duration, now);
-    lease_grant answer = make_grant(it);
+    lease_grant answer = make_grant(it, id);
     if (coordinates_) {
         answer.instructions = coordinator_.instruct(make_coordinator_view(), id, it.report, now);
         answer.instructions.control = member_addresses();
@@ -399,27 +408,59 @@
     send_grant(sender, origin, answer);
 }
 
-lease_grant control_service::make_grant(const lease_request& it) const
+void control_service::fill_registry(lease_grant& answer, std::uint64_t known) const
+{
+    const bool gap = recent_.empty() ? known < registry_.index : known + 1 < recent_.front().index;
+    if (gap) {
+        answer.snapshot = packed_registry();
+        return;
+    }
+    if (known < registry_.index && !recent_.empty()) {
+        // Recent entries have no gaps, so the first that is missing is found by its index.
+        const auto first = static_cast<std::ptrdiff_t>(known + 1 - recent_.front().index);
+        answer.entries.assign(recent_.begin() + first, recent_.end());
+    }
+}
+
+lease_grant control_service::make_grant(const lease_request& it, const replica_id& entry)
 {
+    const time_point now = monotonic_clock::now();
     lease_grant answer{.incarnation = it.record.incarnation,
                        .sent_at = it.sent_at,
                        .lease_ms = to_milliseconds(options_.lease_duration).count(),
                        .snapshot = {},
                        .entries = {}};
-    const bool gap =
-        recent_.empty() ? it.index < registry_.index : it.index + 1 < recent_.front().index;
-    if (gap) {
-        answer.snapshot = encode(registry_);
+    const auto transfer = transfers_.find(entry);
+    const bool under_way = transfer != transfers_.end() && it.index < transfer->second.index &&
+                           now - transfer->second.began_at < resend_pause;
+    if (under_way) {
+        // What came after it follows on the same connection.
+        fill_registry(answer, transfer->second.index);
+        transfer->second.index = registry_.index;
         return answer;
     }
-    if (it.index < registry_.index && !recent_.empty()) {
-        // Recent entries have no gaps, so the first that is missing is found by its index.
-        const auto known = static_cast<std::ptrdiff_t>(it.index + 1 - recent_.front().index);
-        answer.entries.assign(recent_.begin() + known, recent_.end());
+    fill_registry(answer, it.index);
+    const std::size_t bytes = std::accumulate(
+        answer.entries.begin(), answer.entries.end(), answer.snapshot.size(),
+        [](std::size_t sum, const log_entry& entry) { return sum + entry.data.size(); });
+    if (bytes >= large_transfer_bytes) {
+        transfers_[entry] = {.index = registry_.index, .began_at = now};
+    }
+    else if (transfer != transfers_.end()) {
+        transfers_.erase(transfer);
     }
     return answer;
 }
 
+const std::string& control_service::packed_registry() const
+{
+    if (packed_registry_.empty() || packed_index_ != registry_.index) {
+        packed_registry_ = pack_bytes(encode(registry_));
+        packed_index_ = registry_.index;
+    }
+    return packed_registry_;
+}
+
 void control_service::push_configuration()
 {
     if (!consensus_ || !holds_leadership(*consensus_, monotonic_clock::now())) {
@@ -433,7 +474,7 @@
         }
         lease_request behind{.index = lease.index};
         behind.record.incarnation = id.incarnation;
-        lease_grant update = make_grant(behind);
+        lease_grant update = make_grant(behind, id);
         update.lease_ms = 0;
         if (directory_changed) {
             coordinator_.fill_directory(update.instructions, 0);
@@ -444,7 +485,11 @@
 
 void control_service::handle(const owner_command& it, const std::string&)
 {
-    auto command = decode_variant<registry_command>(it.command);
+    auto plain = unpack_bytes(it.command);
+    if (!succeeded(plain)) {
+        return;
+    }
+    auto command = decode_variant<registry_command>(value_of(plain));
     if (succeeded(command)) {
         propose_internal(value_of(command));
     }
@@ -543,7 +588,7 @@
 
 void control_service::submit(const registry_command& command, submit_handler on_done)
 {
-    add_submission(encode_variant(command), std::move(on_done));
+    add_submission(encode_command(command), std::move(on_done));
 }
 
 void control_service::read_declared(submit_handler on_done)
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -89,6 +89,12 @@
         std::uint64_t term = 0;
         proposal_handler on_done;
     };
+    /// A change that takes its time on an entry's link.
+    struct transfer {
+        /// Newest index that was sent.
+        std::uint64_t index = 0;
+        time_point began_at{};
+    };
     struct queued_proposal {
         std::string command;
         proposal_handler on_done;
@@ -141,7 +147,9 @@
     coordinator_view make_coordinator_view() const;
     void remember_recent(const log_entry& entry);
     std::vector<std::string> member_addresses() const;
-    lease_grant make_grant(const lease_request& it) const;
+    lease_grant make_grant(const lease_request& it, const replica_id& entry);
+    void fill_registry(lease_grant& answer, std::uint64_t known) const;
+    const std::string& packed_registry() const;
     void push_configuration();
     void lead();
     void expire_entries(time_point now);
@@ -169,6 +177,11 @@
     std::uint64_t next_submission_ = 1;
     /// Directory that all entries were last told about.
     std::uint64_t pushed_directory_ = 0;
+    /// Large changes on their way to entries.
+    std::map<replica_id, transfer> transfers_;
+    /// The registry as it is sent to entries that need the whole of it, and its index.
+    mutable std::string packed_registry_;
+    mutable std::uint64_t packed_index_ = 0;
     std::vector<queued_proposal> queued_;
     std::multimap<std::uint64_t, waiting_proposal> waiting_;
     bool flush_scheduled_ = false;
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -6,6 +6,7 @@
 #include <array>
 
 #include "base/codec.h"
+#include "base/compression.h"
 #include "core/registry/item_id.h"
 
 namespace balsamdrift {
@@ -367,9 +368,19 @@
     return std::visit([&](const auto& it) { return apply_command(state, it); }, command);
 }
 
+std::string encode_command(const registry_command& command)
+{
+    return pack_bytes(encode_variant(command));
+}
+
 change_result apply_encoded(registry& state, std::uint64_t index, const std::string& data)
 {
-    const auto command = decode_variant<registry_command>(data);
+    auto plain = unpack_bytes(data);
+    if (!succeeded(plain)) {
+        state.index = index;
+        return invalid(failure_of(plain).message);
+    }
+    const auto command = decode_variant<registry_command>(value_of(plain));
     if (!succeeded(command)) {
         state.index = index;
         return invalid(failure_of(command).message);
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -51,6 +51,9 @@
 /// Applies one command at a log index. Deterministic: equal registries stay equal.
 change_result apply(registry& state, std::uint64_t index, const registry_command& command);
 
+/// A command as it stands in the log. Long ones are compressed once, for all who get them.
+std::string encode_command(const registry_command& command);
+
 /// Applies an encoded command; unknown commands change only the index.
 change_result apply_encoded(registry& state, std::uint64_t index, const std::string& data);
 
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/codec.h"
+#include "base/compression.h"
 #include "base/event_log.h"
 #include "base/metrics.h"
 
@@ -198,7 +199,11 @@
 {
     const std::uint64_t before = registry_.index;
     if (!it.snapshot.empty()) {
-        auto decoded = decode<registry>(it.snapshot);
+        auto plain = unpack_bytes(it.snapshot);
+        if (!succeeded(plain)) {
+            return false;
+        }
+        auto decoded = decode<registry>(value_of(plain));
         if (!succeeded(decoded)) {
             return false;
         }
@@ -274,7 +279,7 @@
 
 void lease_client::propose(const registry_command& command)
 {
-    std::string data = encode_variant(command);
+    std::string data = encode_command(command);
     QMetaObject::invokeMethod(
         this, [this, data = std::move(data)] { send_to_control(owner_command{data}); },
         Qt::QueuedConnection);
