Count a lease only once the entry has what control has in force

The entry had been cut off during the change of primary.

Ruled out: a lease that had not run out (it was lost at 6.1 s, the read ran at 10.7 s); samples of the old term (none younger than the route's staleness could exist).

Change: a grant carries the leader's registry index; an entry takes the lease only with that index in force.

Test: a grant without the registry that it belongs to gives no lease; it failed before the change.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -429,7 +429,8 @@
                        .sent_at = it.sent_at,
                        .lease_ms = to_milliseconds(options_.lease_duration).count(),
                        .snapshot = {},
-                       .entries = {}};
+                       .entries = {},
+                       .index = registry_.index};
     const auto transfer = transfers_.find(entry);
     const bool under_way = transfer != transfers_.end() && it.index < transfer->second.index &&
                            now - transfer->second.began_at < resend_pause;
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -237,7 +237,9 @@
     if (changed) {
         view_.publish(std::make_shared<const registry>(registry_));
     }
-    if (it.lease_ms > 0) {
+    // What came before the grant may have been lost on its way.
+    const bool current = registry_.index >= it.index;
+    if (it.lease_ms > 0 && current) {
         if (is_control(sender)) {
             direct_at_ = monotonic_clock::now();
         }
--- a/entry/tests/lease_client_test.cpp
+++ b/entry/tests/lease_client_test.cpp
@@ -30,6 +30,8 @@
     }
     void cut(const std::string& address) { cut_ = address; }
     int relayed() const { return relayed_; }
+    /// Grants leases without the registry that they belong to: it was lost on its way.
+    void withhold(bool value) { withholds_ = value; }
 
 private:
     lease_grant grant_for(const lease_request& it) const
@@ -37,7 +39,8 @@
         return {.incarnation = it.record.incarnation,
                 .sent_at = it.sent_at,
                 .lease_ms = lease.count(),
-                .snapshot = encode(state_)};
+                .snapshot = withholds_ ? std::string() : encode(state_),
+                .index = state_.index};
     }
 
     void receive(const fleet_message& message)
@@ -62,6 +65,7 @@
     registry state_;
     std::string cut_;
     std::atomic<int> relayed_ = 0;
+    std::atomic<bool> withholds_ = false;
 };
 
 /// An entry's lease client with a fleet node of its own.
@@ -126,3 +130,19 @@
     CHECK(far.holds());
     CHECK(leader.relayed() > 0);
 }
+
+TEST_CASE("a lease is void while the entry lacks what control has in force", "[lease]")
+{
+    // A read on old data came about like this: an entry that had been cut off got its lease back
+    // before it heard that the primary had been replaced meanwhile.
+    fake_leader leader;
+    fake_entry entry("entry", leader.address());
+    leader.list("entry", entry.address());
+    leader.withhold(true);
+    entry.start();
+    run_events(milliseconds(700));
+    CHECK_FALSE(entry.holds());
+    leader.withhold(false);
+    run_events(milliseconds(700));
+    CHECK(entry.holds());
+}
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -38,7 +38,10 @@
     /// Committed log entries after the snapshot or after the entry's index.
     std::vector<log_entry> entries;
     entry_instructions instructions;
-    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries, instructions)
+    /// The leader's registry index. The lease is void until the entry has it in force: a change of
+    /// a primary counts as settled for all who hold leases without it.
+    std::uint64_t index = 0;
+    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries, instructions, index)
 };
 
 /// The asked member does not lead.
