Send entries the step between configurations, not the whole

Cause (by reading): every version of the declared configuration went to each entry whole, with the document that only control reads.

Change: control keeps, for entries, the step from one version to the next (core/registry/declared_patch); the registry that a new entry gets is sent without the document.

Tests: an entry that takes steps has what control has but for the document (property); of 1,600 routes with one change less than 200 bytes travel.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -28,6 +28,9 @@
 /// Recent entries are kept up to this many bytes; an entry that lags further gets a whole registry.
 constexpr std::size_t kept_recent_bytes = std::size_t{2} * 1024 * 1024;
 
+/// Commands from this size on are declared configurations, which entries get as a step.
+constexpr std::size_t large_command_bytes = 1024;
+
 /// A change of this size takes part of a second on the slowest links that entries have.
 constexpr std::size_t large_transfer_bytes = std::size_t{16} * 1024;
 
@@ -231,12 +234,18 @@
     answers.reserve(action.entries.size());
     for (const log_entry& it : action.entries) {
         change_result result;
+        log_entry for_entries = it;
         if (it.kind == entry_kind::command) {
+            const bool large = it.data.size() >= large_command_bytes;
+            const auto before = large ? registry_.declared : declared_configuration{};
             result = apply_encoded(registry_, it.index, it.data);
+            if (large) {
+                for_entries.data = command_for_entries(it.data, before, registry_.declared);
+            }
         }
         registry_.index = it.index;
         answers.push_back(std::move(result));
-        remember_recent(it);
+        remember_recent(for_entries);
     }
     push_configuration();
     // Whoever gets an answer finds it in the status as well.
@@ -456,7 +465,9 @@
 const std::string& control_service::packed_registry() const
 {
     if (packed_registry_.empty() || packed_index_ != registry_.index) {
-        packed_registry_ = pack_bytes(encode(registry_));
+        registry plain = registry_;
+        plain.declared.document.clear();
+        packed_registry_ = pack_bytes(encode(plain));
         packed_index_ = registry_.index;
     }
     return packed_registry_;
--- a/core/registry/change.h
+++ b/core/registry/change.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/registry/declared_configuration.h"
+#include "core/registry/declared_patch.h"
 #include "core/registry/primary_record.h"
 #include "core/registry/records.h"
 
@@ -179,7 +180,7 @@
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
                  release_item, record_primary, activate_preset, set_session_secret,
-                 replace_declared, mark_leaving, change_primary>;
+                 replace_declared, mark_leaving, change_primary, patch_declared>;
 
 /// How a command ended.
 enum class change_status : std::uint8_t {
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -7,6 +7,7 @@
 
 #include "base/codec.h"
 #include "base/compression.h"
+#include "base/invariant.h"
 #include "core/registry/item_id.h"
 
 namespace balsamdrift {
@@ -318,6 +319,15 @@
     return accepted(state.declared.version);
 }
 
+change_result apply_command(registry& state, const patch_declared& it)
+{
+    // Steps are applied in the order of the log on a copy that has every earlier one. A copy that
+    // differs must not serve on; the process starts anew with a whole registry.
+    const bool taken = take_patch(state.declared, it);
+    BALSAMDRIFT_INVARIANT(taken);
+    return accepted(state.declared.version);
+}
+
 change_result apply_command(registry& state, const mark_leaving& it)
 {
     const auto [found, inserted] = state.leaving.try_emplace(it.instance, it.born_ms);
@@ -373,6 +383,12 @@
     return pack_bytes(encode_variant(command));
 }
 
+std::string command_for_entries(const std::string& data, const declared_configuration& before,
+                                const declared_configuration& after)
+{
+    return before.version == after.version ? data : encode_command(make_patch(before, after));
+}
+
 change_result apply_encoded(registry& state, std::uint64_t index, const std::string& data)
 {
     auto plain = unpack_bytes(data);
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -54,6 +54,11 @@
 /// A command as it stands in the log. Long ones are compressed once, for all who get them.
 std::string encode_command(const registry_command& command);
 
+/// The same command as entries get it, once it is applied: a new declared configuration becomes the
+/// step from the one before.
+std::string command_for_entries(const std::string& data, const declared_configuration& before,
+                                const declared_configuration& after);
+
 /// Applies an encoded command; unknown commands change only the index.
 change_result apply_encoded(registry& state, std::uint64_t index, const std::string& data);
 
--- a/core/tests/registry_test.cpp
+++ b/core/tests/registry_test.cpp
@@ -180,3 +180,51 @@
     run(plan.recall);
     CHECK(plan_assignments(run.state, live, 4).recall.items.empty());
 }
+
+TEST_CASE("an entry that takes steps has what control has, but for the document", "[registry]")
+{
+    rc::check([] {
+        registry control;
+        registry entry;
+        std::uint64_t index = 0;
+        const int versions = *rc::gen::inRange(1, 12);
+        for (int n = 1; n <= versions; ++n) {
+            declared_configuration next{.version = static_cast<std::uint64_t>(n) * 3,
+                                        .document = "document " + std::to_string(n)};
+            const int routes = *rc::gen::inRange(0, 8);
+            for (int route = 0; route < routes; ++route) {
+                next.routes["r" + std::to_string(*rc::gen::inRange(0, 10))] = {
+                    .service = "registre",
+                    .statement_timeout = milliseconds(*rc::gen::inRange(1, 3))};
+            }
+            const int customers = *rc::gen::inRange(0, 4);
+            for (int customer = 0; customer < customers; ++customer) {
+                const std::string name = "c" + std::to_string(customer);
+                next.customers[name] = {.rate = *rc::gen::inRange(1, 4) * 1.0};
+                next.customer_of_key["key" + std::to_string(*rc::gen::inRange(0, 5))] = name;
+            }
+            const std::string data = encode_command(replace_declared{next});
+            const declared_configuration before = control.declared;
+            ++index;
+            (void)apply_encoded(control, index, data);
+            (void)apply_encoded(entry, index, command_for_entries(data, before, control.declared));
+            registry seen = control;
+            seen.declared.document.clear();
+            RC_ASSERT(entry == seen);
+        }
+    });
+}
+
+TEST_CASE("of a large configuration only the change travels to entries", "[registry]")
+{
+    declared_configuration before{.version = 1};
+    for (int n = 0; n < 1600; ++n) {
+        before.routes["route" + std::to_string(n)] = {.service = "registre",
+                                                      .statement_timeout = milliseconds(1000)};
+    }
+    declared_configuration after = before;
+    after.version = 2;
+    after.routes["route7"].statement_timeout = milliseconds(900);
+    const std::string data = encode_command(replace_declared{after});
+    CHECK(command_for_entries(data, before, after).size() < 200);
+}
