Keep tokens before the first caller, go on without control, await the first configuration

Ruled out: the pool's bucket and lost answers (no question was answered in that time).

Change: an entry without callers keeps an even part of each rate ready; demand is judged over the time that a customer has been seen; without any answer of control for 0.9 s, and while its lease runs, an entry lives on an even part of each rate, which the leader leaves out of the pool as long as it does not hear the entry. A caller that comes before the first configuration waits up to 1.5 s for it.

Tests: the usual load goes on through three seconds without control from the first second on; the property test of the limit now also cuts entries off; callers before the first configuration.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -108,6 +108,7 @@
     for (const auto& [name, it] : directory_.instances) {
         connections[name] = usual_instance_load;
     }
+    note_entry(tokens_, entry.name, report.alone, now);
     const std::size_t entries = view.state.entries.size();
     entry_instructions answer;
     answer.entry_count = static_cast<std::uint32_t>(entries);
@@ -121,6 +122,13 @@
 rate_answer service_coordinator::answer(const registry& state, const rate_question& question,
                                         time_point now)
 {
+    note_entry(tokens_, question.entry.name, question.alone, now);
+    std::vector<std::string> registered;
+    registered.reserve(state.entries.size());
+    for (const auto& [name, it] : state.entries) {
+        registered.push_back(name);
+    }
+    divide_rates(tokens_, rates_, registered, now);
     rate_answer out{.entry = question.entry, .origin = question.origin, .number = question.number};
     for (const auto& [name, ask] : question.asks) {
         const auto customer = state.declared.customers.find(name);
--- a/core/rates/token_pool.cpp
+++ b/core/rates/token_pool.cpp
@@ -13,11 +13,12 @@
 constexpr double smallest_rate = 0.01;
 
 /// The pool's own bucket: the rate, and the part of the reserve that entries do not keep.
-bucket_limits pool_limits(const token_pool_options& options, const bucket_limits& limits)
+bucket_limits pool_limits(const token_pool_options& options, const bucket_limits& limits,
+                          double part)
 {
     const double reserve = window_reserve(options, limits);
     const double burst = std::max(reserve * (1 - options.spare_part), smallest_burst);
-    return {.rate = std::max(limits.rate, smallest_rate),
+    return {.rate = std::max(limits.rate * part, smallest_rate),
             .burst = std::max(std::min(burst, reserve), 1.0)};
 }
 
@@ -27,7 +28,7 @@
                        const bucket_limits& limits, const std::string& entry, const token_ask& ask)
 {
     const double reserve =
-        std::floor(window_reserve(options, limits) - pool_limits(options, limits).burst);
+        std::floor(window_reserve(options, limits) - pool_limits(options, limits, 1).burst);
     double others_keep = 0;
     double all_want = ask.spare;
     for (const auto& [name, it] : tokens.kept) {
@@ -54,7 +55,7 @@
                         const std::string& customer, const bucket_limits& limits,
                         const std::string& entry, const token_ask& ask, time_point now)
 {
-    const bucket_limits own = pool_limits(options, limits);
+    const bucket_limits own = pool_limits(options, limits, pool.part);
     const auto [found, first] = pool.customers.try_emplace(
         customer, customer_tokens{make_spent_bucket(own, pool.began_at), {}});
     customer_tokens& tokens = found->second;
@@ -93,8 +94,34 @@
     return share;
 }
 
+void note_entry(token_pool& pool, const std::string& entry, bool alone, time_point now)
+{
+    if (alone) {
+        pool.heard.erase(entry);
+    }
+    else {
+        pool.heard[entry] = now;
+    }
+}
+
+void divide_rates(token_pool& pool, const token_pool_options& options,
+                  const std::vector<std::string>& registered, time_point now)
+{
+    if (registered.empty()) {
+        pool.part = 1;
+        return;
+    }
+    const auto in_touch =
+        std::count_if(registered.begin(), registered.end(), [&](const std::string& name) {
+            const auto it = pool.heard.find(name);
+            return it != pool.heard.end() && now - it->second < options.heard_within;
+        });
+    pool.part = static_cast<double>(in_touch) / static_cast<double>(registered.size());
+}
+
 void forget_entry(token_pool& pool, const std::string& entry)
 {
+    pool.heard.erase(entry);
     for (auto& [customer, it] : pool.customers) {
         it.kept.erase(entry);
     }
--- a/core/rates/token_pool.h
+++ b/core/rates/token_pool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <msgpack.hpp>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "core/rates/token_bucket.h"
@@ -49,6 +50,9 @@
     double used_part = 0.9;
     /// Part of it that entries may keep between them; the rest is the burst of the pool.
     double spare_part = 0.9;
+    /// An entry that was not heard for this long may already live on its part of the rate. It
+    /// begins to only after a longer time (token_stock_options::alone_after), on its own clock.
+    duration heard_within = milliseconds(600);
     /// An entry drops what it kept for this long without asking.
     duration spare_lifetime = seconds(5);
 };
@@ -75,8 +79,21 @@
     std::map<std::string, customer_tokens> customers;
     /// Entries may still keep what an earlier leader gave, for `spare_lifetime` from then.
     time_point began_at{};
+    /// When each entry was last heard with control's answers reaching it.
+    std::map<std::string, time_point> heard;
+    /// Part of each rate that the pool gives out; the rest is used by entries that are cut off.
+    double part = 1;
 };
 
+/// Notes that an entry was heard. `alone` says that it lives on its part of the rates, because
+/// control's answers do not reach it.
+void note_entry(token_pool& pool, const std::string& entry, bool alone, time_point now);
+
+/// Works out which part of the rates the pool gives out: that of the registered entries that are
+/// in touch. Each of the others may use an even part of every rate.
+void divide_rates(token_pool& pool, const token_pool_options& options,
+                  const std::vector<std::string>& registered, time_point now);
+
 /// Operations of a window beyond the customer's rate that the pool and the entries may hold.
 double window_reserve(const token_pool_options& options, const bucket_limits& limits);
 
--- a/core/rates/token_stock.cpp
+++ b/core/rates/token_stock.cpp
@@ -9,23 +9,39 @@
 
 using float_seconds = std::chrono::duration<double>;
 
-double decayed_demand(const customer_stock& it, const token_stock_options& options, time_point now)
+/// Part of a quantity that is left after this time, at the pace at which demand is forgotten.
+double left_after(duration passed, const token_stock_options& options)
 {
-    const float_seconds passed = now - it.demand_at;
-    return it.demand * std::exp(-passed / float_seconds(options.demand_span));
+    return std::exp(-float_seconds(passed) / float_seconds(options.demand_span));
 }
 
+/// Demand is not judged by less time than this.
+constexpr milliseconds shortest_demand_time(300);
+
 void note_demand(customer_stock& it, const token_stock_options& options, time_point now)
 {
-    it.demand = decayed_demand(it, options, now) + 1 / float_seconds(options.demand_span).count();
+    if (it.first_at == time_point{}) {
+        it.first_at = now;
+    }
+    it.recent = it.recent * left_after(now - it.demand_at, options) + 1;
     it.demand_at = now;
 }
 
-std::uint32_t spare_target(const customer_stock& it, const token_stock_options& options,
-                           time_point now)
+/// Operations per second, over the time that the customer has been seen.
+double demand_of(const customer_stock& it, const token_stock_options& options, time_point now)
+{
+    const double recent = it.recent * left_after(now - it.demand_at, options);
+    const duration seen = std::max<duration>(now - it.first_at, shortest_demand_time);
+    const double whole = float_seconds(options.demand_span).count();
+    return recent / (whole * (1 - left_after(seen, options)));
+}
+
+std::uint32_t spare_target(const token_stock& stock, const customer_stock& it,
+                           const token_stock_options& options, time_point now)
 {
-    const double needed =
-        decayed_demand(it, options, now) * float_seconds(options.spare_span).count();
+    const double even = it.limits.rate / std::max(stock.entries, 1U);
+    const double demand = stock.busy ? demand_of(it, options, now) : even;
+    const double needed = demand * float_seconds(options.spare_span).count();
     return static_cast<std::uint32_t>(std::ceil(needed));
 }
 
@@ -36,28 +52,74 @@
     }
 }
 
+/// Uses the entry's own part of the rate, which has run up since it is alone.
+bool take_own_part(const token_stock& stock, const token_stock_options& options, customer_stock& it,
+                   time_point now)
+{
+    const float_seconds alone_for = now - stock.answered_at - options.alone_after;
+    const double own_rate = it.limits.rate / std::max(stock.entries, 1U);
+    if (it.alone_used + 1 > own_rate * alone_for.count()) {
+        return false;
+    }
+    it.alone_used += 1;
+    return true;
+}
+
 }  // namespace
 
-std::variant<token_taken, token_awaited, token_refused>
-take_token(token_stock& stock, const token_stock_options& options, const std::string& customer,
-           std::uint64_t caller, time_point now)
+void note_customer(token_stock& stock, const std::string& customer, const bucket_limits& limits)
 {
     customer_stock& it = stock.customers[customer];
+    if (it.limits != limits) {
+        it.limits = limits;
+        it.spare = 0;
+    }
+}
+
+void note_answer(token_stock& stock, time_point sent_at)
+{
+    if (sent_at <= stock.answered_at) {
+        return;
+    }
+    stock.answered_at = sent_at;
+    for (auto& [name, it] : stock.customers) {
+        it.alone_used = 0;
+    }
+}
+
+bool is_alone(const token_stock& stock, const token_stock_options& options, time_point now)
+{
+    return stock.answered_at != time_point{} && now - stock.answered_at >= options.alone_after;
+}
+
+std::variant<token_taken, token_awaited, token_refused>
+take_token(token_stock& stock, const token_stock_options& options, const token_caller& caller,
+           time_point now)
+{
+    customer_stock& it = stock.customers[caller.customer];
+    stock.busy = true;
     note_demand(it, options, now);
     drop_expired(it, now);
     if (it.spare > 0) {
         --it.spare;
-        stock.due.insert(customer);
+        stock.due.insert(caller.customer);
         return token_taken{};
     }
+    if (is_alone(stock, options, now)) {
+        stock.due.insert(caller.customer);
+        if (caller.may_be_alone && take_own_part(stock, options, it, now)) {
+            return token_taken{};
+        }
+        return token_refused{options.silent_retry};
+    }
     if (now < it.empty_until) {
         return token_refused{it.empty_wait};
     }
-    stock.due.insert(customer);
+    stock.due.insert(caller.customer);
     if (stock.silent_since && now - *stock.silent_since >= options.patience) {
         return token_refused{options.silent_retry};
     }
-    it.waiting.emplace_back(caller, now);
+    it.waiting.emplace_back(caller.number, now);
     return token_awaited{};
 }
 
@@ -66,6 +128,12 @@
     if (stock.asked_at && now - *stock.asked_at < options.ask_again) {
         return {};
     }
+    if (!stock.busy && now >= stock.idle_ask_at) {
+        stock.idle_ask_at = now + options.spare_lifetime / 2;
+        for (const auto& [name, it] : stock.customers) {
+            stock.due.insert(name);
+        }
+    }
     const bool urgent = std::any_of(stock.due.begin(), stock.due.end(), [&](const auto& name) {
         return !stock.customers[name].waiting.empty();
     });
@@ -80,7 +148,7 @@
         customer_stock& it = stock.customers[name];
         drop_expired(it, now);
         all[name] = {.waiting = static_cast<std::uint32_t>(it.waiting.size()),
-                     .spare = spare_target(it, options, now),
+                     .spare = spare_target(stock, it, options, now),
                      .held = it.spare};
     }
     if (all.empty()) {
@@ -104,6 +172,7 @@
         return {};
     }
     const time_point asked_at = *stock.asked_at;
+    note_answer(stock, asked_at);
     stock.asked_at.reset();
     stock.silent_since.reset();
     std::vector<token_decision> decided;
@@ -147,12 +216,4 @@
     return decided;
 }
 
-void drop_spare(token_stock& stock, const std::string& customer)
-{
-    const auto it = stock.customers.find(customer);
-    if (it != stock.customers.end()) {
-        it->second.spare = 0;
-    }
-}
-
 }  // namespace balsamdrift
--- a/core/rates/token_stock.h
+++ b/core/rates/token_stock.h
@@ -29,6 +29,9 @@
     duration patience = milliseconds(300);
     /// Callers that control was too silent for come back after this: an election takes about that.
     duration silent_retry = milliseconds(500);
+    /// Without an answer of control for this long an entry lives on an even part of each rate.
+    /// Control has stopped to give that part to others by then: see token_pool_options.
+    duration alone_after = milliseconds(900);
     /// While control has no tokens of a customer, it is asked again this often at most.
     duration most_empty_span = milliseconds(100);
     /// Demand is averaged over this span.
@@ -37,15 +40,21 @@
 
 /// What an entry has of one customer's tokens.
 struct customer_stock {
+    /// The customer's limits, over all entries.
+    bucket_limits limits{.rate = 0, .burst = 0};
     std::uint32_t spare = 0;
     time_point spare_until{};
     /// Control had no token left; it is not asked again before this.
     time_point empty_until{};
     /// When control expected the next token, from when it said so.
     duration empty_wait{};
-    /// Operations per second lately, as of `demand_at`.
-    double demand = 0;
+    /// Operations that were admitted out of the entry's own part since it is alone.
+    double alone_used = 0;
+    /// Operations lately, each weighing less as it ages, as of `demand_at`.
+    double recent = 0;
     time_point demand_at{};
+    /// When the customer was first seen.
+    time_point first_at{};
     /// Callers that wait for a token, first come, first served.
     std::deque<std::pair<std::uint64_t, time_point>> waiting;
 };
@@ -65,15 +74,40 @@
     std::set<std::string> asked;
     /// Since when control has not answered, if it was asked.
     std::optional<time_point> silent_since;
+    /// Control answered a question, of whatever kind, that was sent at this time.
+    time_point answered_at{};
+    /// Entries that may serve callers, this one included.
+    std::uint32_t entries = 1;
+    /// True since the first caller came. Before, an even part of each rate is taken for the demand.
+    bool busy = false;
+    /// When control is asked again for what is kept before the first caller.
+    time_point idle_ask_at{};
 };
 
+/// Notes a customer's limits. What was kept under others is dropped.
+void note_customer(token_stock& stock, const std::string& customer, const bucket_limits& limits);
+
+/// Notes that control answered a question that was sent at this time.
+void note_answer(token_stock& stock, time_point sent_at);
+
+/// True while the entry lives on its part of the rates.
+bool is_alone(const token_stock& stock, const token_stock_options& options, time_point now);
+
 /// The caller waits until control has answered.
 struct token_awaited {};
 
+/// A caller that wants to begin an operation.
+struct token_caller {
+    std::uint64_t number = 0;
+    std::string customer;
+    /// False once the entry's lease has run out: others may have got its part of the rate.
+    bool may_be_alone = true;
+};
+
 /// Takes a token of the customer for a caller, lets the caller wait for one, or refuses.
 std::variant<token_taken, token_awaited, token_refused>
-take_token(token_stock& stock, const token_stock_options& options, const std::string& customer,
-           std::uint64_t caller, time_point now);
+take_token(token_stock& stock, const token_stock_options& options, const token_caller& caller,
+           time_point now);
 
 /// The next question to control, numbered by `stock.question`; empty while there is none to ask.
 token_asks next_question(token_stock& stock, const token_stock_options& options, time_point now);
@@ -95,7 +129,4 @@
 std::vector<token_decision> refuse_overdue(token_stock& stock, const token_stock_options& options,
                                            time_point now);
 
-/// Drops what is kept of a customer whose limits changed.
-void drop_spare(token_stock& stock, const std::string& customer);
-
 }  // namespace balsamdrift
--- a/core/tests/token_pool_test.cpp
+++ b/core/tests/token_pool_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <deque>
 #include <rapidcheck/catch.h>
+#include <set>
 
 #include "core/rates/token_stock.h"
 
@@ -33,6 +34,8 @@
     std::deque<time_point> admitted;
     int refused = 0;
     bool control_up = true;
+    std::set<std::string> cut_off;
+    time_point renew_at = start;
     milliseconds delay{12};
     std::uint64_t next_caller = 1;
 
@@ -50,7 +53,8 @@
 
     void arrive(const std::string& entry)
     {
-        const auto res = take_token(entries[entry], stock_options, "agence", next_caller++, now);
+        const auto res = take_token(entries[entry], stock_options,
+                                    {.number = next_caller++, .customer = "agence"}, now);
         if (std::holds_alternative<token_taken>(res)) {
             admitted.push_back(now);
         }
@@ -60,10 +64,14 @@
     void ask(const std::string& entry, bool answer_lost)
     {
         token_stock& stock = entries[entry];
+        stock.entries = static_cast<std::uint32_t>(entries.size());
+        note_customer(stock, "agence", limits);
         const token_asks asks = next_question(stock, stock_options, now);
-        if (asks.empty() || !control_up) {
+        if (asks.empty() || !control_up || cut_off.contains(entry)) {
             return;
         }
+        note_entry(pool, entry, is_alone(stock, stock_options, now), now);
+        divide();
         token_shares shares;
         for (const auto& [name, it] : asks) {
             shares[name] = give_tokens(pool, options, name, limits, entry, it, now);
@@ -73,6 +81,28 @@
         }
     }
 
+    void divide()
+    {
+        std::vector<std::string> registered;
+        for (const auto& [name, it] : entries) {
+            registered.push_back(name);
+        }
+        divide_rates(pool, options, registered, now);
+    }
+
+    /// Every entry renews its lease; control's answer comes at once unless it is lost.
+    void renew_lease(const std::string& entry, bool answer_lost)
+    {
+        if (!control_up || cut_off.contains(entry)) {
+            return;
+        }
+        token_stock& stock = entries[entry];
+        note_entry(pool, entry, is_alone(stock, stock_options, now), now);
+        if (!answer_lost) {
+            note_answer(stock, now);
+        }
+    }
+
     void deliver()
     {
         std::deque<sent_answer> later;
@@ -96,8 +126,25 @@
             now += milliseconds(10);
             deliver();
             for (auto& [name, it] : entries) {
+                if (now >= renew_at) {
+                    renew_lease(name, false);
+                }
                 ask(name, false);
             }
+            renew_at = now >= renew_at ? now + milliseconds(500) : renew_at;
+        }
+    }
+
+    /// The usual load on six entries; sites give customers 1.6 times the rate that they use.
+    void load(duration span)
+    {
+        double owed = 0;
+        int next = 0;
+        for (const time_point end = now + span; now < end;) {
+            for (owed += limits.rate / 160; owed >= 1; owed -= 1) {
+                arrive("e" + std::to_string(next++ % 6));
+            }
+            pass(milliseconds(10));
         }
     }
 
@@ -151,24 +198,33 @@
     for (int n = 0; n < 6; ++n) {
         fleet.entries["e" + std::to_string(n)];
     }
-    // The rate is 1.6 times what callers usually ask for.
-    const auto load = [&](duration span) {
-        double owed = 0;
-        int next = 0;
-        for (const time_point end = fleet.now + span; fleet.now < end;) {
-            for (owed += 0.85; owed >= 1; owed -= 1) {
-                fleet.arrive("e" + std::to_string(next++ % 6));
-            }
-            fleet.pass(milliseconds(10));
-        }
-    };
-    load(seconds(10));
+    fleet.load(seconds(10));
     fleet.refused = 0;
     fleet.control_up = false;
-    load(seconds(2));
+    fleet.load(seconds(2));
     CHECK(fleet.refused == 0);
 }
 
+TEST_CASE("the usual load goes on through three seconds without control, from the first second on",
+          "[rates]")
+{
+    // All of control loses power 1.6 s after the load began, and is back with a leader at 4.6 s.
+    for (const double rate : {26.0, 136.0}) {
+        fleet_fixture fleet;
+        fleet.limits = {.rate = rate, .burst = rate};
+        for (int n = 0; n < 6; ++n) {
+            fleet.entries["e" + std::to_string(n)];
+        }
+        fleet.pass(milliseconds(10000));
+        fleet.load(milliseconds(1600));
+        fleet.control_up = false;
+        fleet.admitted.clear();
+        fleet.refused = 0;
+        fleet.load(seconds(3));
+        CHECK(fleet.refused == 0);
+    }
+}
+
 TEST_CASE("a customer far beyond its limit is held to it on all entries together", "[rates]")
 {
     fleet_fixture fleet;
@@ -204,12 +260,22 @@
             fleet.ask(entry, *rc::gen::inRange(0, 4) == 0);
             fleet.now += milliseconds(*rc::gen::inRange(0, 60));
             fleet.deliver();
+            if (fleet.now >= fleet.renew_at) {
+                fleet.renew_at = fleet.now + milliseconds(500);
+                for (auto& [name, it] : fleet.entries) {
+                    fleet.renew_lease(name, *rc::gen::inRange(0, 5) == 0);
+                }
+            }
             const int trouble = *rc::gen::inRange(0, 60);
             if (trouble == 0) {
                 // An election: the next leader knows nothing of what was given.
                 fleet.now += milliseconds(600);
                 fleet.pool = {.customers = {}, .began_at = fleet.now};
             }
+            else if (trouble == 2) {
+                // An entry is cut off, until the next one is.
+                fleet.cut_off = {entry};
+            }
             else if (trouble == 1) {
                 // A process restarts and has nothing.
                 fleet.entries[entry] = {.question = 1'000'000U * static_cast<unsigned>(n + 1)};
@@ -224,8 +290,8 @@
     token_stock stock;
     const token_stock_options options;
     for (std::uint64_t n = 1; n <= 3; ++n) {
-        CHECK(
-            std::holds_alternative<token_awaited>(take_token(stock, options, "agence", n, start)));
+        CHECK(std::holds_alternative<token_awaited>(
+            take_token(stock, options, {.number = n, .customer = "agence"}, start)));
     }
     REQUIRE(next_question(stock, options, start).at("agence").waiting == 3);
     const auto decided = adopt_answer(stock, options, stock.question,
@@ -240,7 +306,7 @@
 {
     token_stock stock;
     const token_stock_options options;
-    (void)take_token(stock, options, "agence", 1, start);
+    (void)take_token(stock, options, {.number = 1, .customer = "agence"}, start);
     (void)next_question(stock, options, start);
     const std::uint64_t first = stock.question;
     (void)next_question(stock, options, start + milliseconds(200));
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -143,18 +143,18 @@
            answered_at_ >= asked_at_ - options_.renew_interval;
 }
 
-void lease_client::ask_tokens(std::uint64_t number, token_asks asks)
+void lease_client::ask_tokens(std::uint64_t number, token_asks asks, bool alone)
 {
     if (given_back_ || leader_.empty()) {
         return;
     }
-    send(leader_, rate_question{view_.self(), {}, number, std::move(asks)});
+    send(leader_, rate_question{view_.self(), {}, number, std::move(asks), alone});
 }
 
 void lease_client::handle(const rate_question& it, const std::string& sender)
 {
     if (reaches_control()) {
-        send(leader_, rate_question{it.entry, sender, it.number, it.asks});
+        send(leader_, rate_question{it.entry, sender, it.number, it.asks, it.alone});
     }
 }
 
--- a/entry/lease_client.h
+++ b/entry/lease_client.h
@@ -47,7 +47,10 @@
     void ask_soon();
 
     /// Asks control for tokens of customers' rates.
-    void ask_tokens(std::uint64_t number, token_asks asks);
+    void ask_tokens(std::uint64_t number, token_asks asks, bool alone);
+
+    /// When the newest question that control has answered was sent.
+    time_point answered_at() const { return answered_at_; }
 
     /// Tells control that this entry stops: it keeps its lease and gets no new items.
     void drain();
--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -25,8 +25,9 @@
                  .configuration = [this] { return view_.state(); },
                  .holds_lease = [this](time_point now) { return view_.holds_lease(now); },
                  .report_soon = [this] { lease_->ask_soon(); },
-                 .ask_tokens = [this](std::uint64_t number,
-                                      const token_asks& it) { lease_->ask_tokens(number, it); }}),
+                 .ask_tokens = [this](std::uint64_t number, const token_asks& it,
+                                      bool alone) { lease_->ask_tokens(number, it, alone); },
+                 .control_answered_at = [this] { return lease_->answered_at(); }}),
       front_(options_.statements, sessions_),
       readiness_(options_.readiness, make_readiness_handler([this] { return is_ready(); }))
 {
--- a/fleet/entry_report.h
+++ b/fleet/entry_report.h
@@ -32,7 +32,9 @@
     /// Statements and transactions per second that were sent to each instance.
     share_claim connections;
     std::uint64_t directory_version = 0;
-    MSGPACK_DEFINE(settled_index, primaries, connections, directory_version)
+    /// Control's answers did not come lately: the entry lives on its part of the rates.
+    bool alone = false;
+    MSGPACK_DEFINE(settled_index, primaries, connections, directory_version, alone)
 };
 
 /// What control answers to it.
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -116,7 +116,9 @@
     std::string origin;
     std::uint64_t number = 0;
     token_asks asks;
-    MSGPACK_DEFINE(entry, origin, number, asks)
+    /// Control's answers did not come lately.
+    bool alone = false;
+    MSGPACK_DEFINE(entry, origin, number, asks, alone)
 };
 
 /// The leader's answer to it.
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -35,6 +35,20 @@
     return it == sessions_.end() ? nullptr : it->second.get();
 }
 
+void session_service::await_configuration(std::function<void()> then)
+{
+    early_callers_.emplace_back(hooks_.now() + options_.configuration_patience, std::move(then));
+}
+
+void session_service::call_early_callers(time_point now)
+{
+    while (!early_callers_.empty() && (is_configured() || now >= early_callers_.front().first)) {
+        const std::function<void()> then = std::move(early_callers_.front().second);
+        early_callers_.pop_front();
+        then();
+    }
+}
+
 std::variant<std::uint64_t, statement_error>
 session_service::open_session(const std::string& database, const std::string& key,
                               std::function<void()> end)
@@ -209,7 +223,11 @@
         start_operation(session);
         return;
     }
-    const auto res = take_token(tokens_, options_.rates, customer, session.number, hooks_.now());
+    const time_point now = hooks_.now();
+    const auto res = take_token(
+        tokens_, options_.rates,
+        {.number = session.number, .customer = customer, .may_be_alone = hooks_.holds_lease(now)},
+        now);
     if (const auto* const refused = std::get_if<token_refused>(&res)) {
         refuse_for_rate(session, refused->retry_after);
     }
@@ -217,7 +235,7 @@
         start_operation(session);
     }
     else {
-        ask_for_tokens(hooks_.now());
+        ask_for_tokens(now);
     }
 }
 
@@ -258,7 +276,7 @@
 {
     const token_asks asks = next_question(tokens_, options_.rates, now);
     if (!asks.empty()) {
-        hooks_.ask_tokens(tokens_.question, asks);
+        hooks_.ask_tokens(tokens_.question, asks, is_alone(tokens_, options_.rates, now));
     }
 }
 
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,9 @@
     /// An instance that control does not list is kept this long: a new leader hears of all
     /// instances only after their next heartbeats.
     duration missing_grace = seconds(4);
+    /// A caller that comes before the first configuration waits this long for it. Callers give up
+    /// after two seconds; control elects a leader within one.
+    duration configuration_patience = milliseconds(1500);
     /// A new connection that is not accepted after this is given up.
     duration connect_timeout = milliseconds(400);
     token_stock_options rates;
@@ -63,8 +67,11 @@
     std::function<bool(time_point)> holds_lease;
     /// Control should hear the report soon.
     std::function<void()> report_soon;
-    /// Control is asked for tokens of customers' rates, under this number.
-    std::function<void(std::uint64_t number, const token_asks&)> ask_tokens;
+    /// Control is asked for tokens of customers' rates, under this number. `alone` says that its
+    /// answers did not come lately.
+    std::function<void(std::uint64_t number, const token_asks&, bool alone)> ask_tokens;
+    /// When the newest question that control has answered was sent.
+    std::function<time_point()> control_answered_at;
 };
 
 /// Serves the sessions of callers over pooled connections to instances. Every caller's statement
@@ -73,6 +80,13 @@
 public:
     session_service(session_service_options options, session_service_hooks hooks);
 
+    /// False until the first configuration has come.
+    bool is_configured() const { return state_->declared.version > 0; }
+
+    /// Calls back once there is a configuration, or after a while without one: a process that has
+    /// just started hears of it as soon as control has a leader.
+    void await_configuration(std::function<void()> then);
+
     /// Opens a session, or says why not. `end` is called when this side ends it.
     std::variant<std::uint64_t, statement_error>
     open_session(const std::string& database, const std::string& key, std::function<void()> end);
@@ -123,7 +137,7 @@
     void refuse_for_rate(caller_session& session, duration retry_after);
     void apply_decisions(const std::vector<token_decision>& decisions);
     void ask_for_tokens(time_point now);
-    void drop_changed_limits(const std::map<std::string, declared_customer>& before);
+    void call_early_callers(time_point now);
     void end_transaction(caller_session& session);
     void lose_transaction(caller_session& session);
 
@@ -205,6 +219,8 @@
     std::uint32_t entry_count_ = 1;
     /// When this VM was last seen to hold its lease.
     time_point lease_seen_at_{};
+    /// Callers that wait for the first configuration, and until when.
+    std::deque<std::pair<time_point, std::function<void()>>> early_callers_;
     std::uint64_t next_session_ = 1;
     std::uint64_t next_link_ = 1;
     std::uint64_t next_queue_number_ = 1;
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <utility>
 
 #include "base/event_log.h"
 #include "base/metrics.h"
@@ -21,8 +20,11 @@
 
 void session_service::on_configuration()
 {
-    const auto before = std::exchange(state_, hooks_.configuration());
-    drop_changed_limits(before->declared.customers);
+    state_ = hooks_.configuration();
+    for (const auto& [name, limits] : state_->declared.customers) {
+        note_customer(tokens_, name, {.rate = limits.rate, .burst = limits.burst});
+    }
+    call_early_callers(hooks_.now());
     for (const auto& [name, record] : state_->primaries) {
         service_state& service = services_[name];
         if (service.record != record) {
@@ -42,16 +44,6 @@
     }
 }
 
-void session_service::drop_changed_limits(const std::map<std::string, declared_customer>& before)
-{
-    for (const auto& [name, limits] : state_->declared.customers) {
-        const auto it = before.find(name);
-        if (it == before.end() || it->second != limits) {
-            drop_spare(tokens_, name);
-        }
-    }
-}
-
 void session_service::adopt_record(const std::string& name, service_state& service,
                                    const primary_record& record)
 {
@@ -208,6 +200,7 @@
     if (it.entry_count > 0) {
         connection_shares_ = it.connections;
         entry_count_ = it.entry_count;
+        tokens_.entries = it.entry_count;
     }
     if (it.has_directory) {
         directory_version_ = it.directory_version;
@@ -297,6 +290,8 @@
             check_pending(*session, now);
         }
     }
+    call_early_callers(now);
+    note_answer(tokens_, hooks_.control_answered_at());
     apply_decisions(refuse_overdue(tokens_, options_.rates, now));
     ask_for_tokens(now);
     check_links(now);
@@ -332,6 +327,7 @@
 {
     const time_point now = hooks_.now();
     entry_report out{.settled_index = state_->index, .directory_version = directory_version_};
+    out.alone = is_alone(tokens_, options_.rates, now);
     measure_demand(now);
     out.connections = {connection_demand_, connection_shares_};
     for (const auto& [name, service] : services_) {
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -47,6 +47,7 @@
     std::deque<std::function<void()>> events;
     int reports = 0;
     bool control_answers = true;
+    time_point answered_at = start;
     token_pool tokens;
     session_service sessions;
 
@@ -58,8 +59,13 @@
                     .configuration = [this] { return std::make_shared<const registry>(state); },
                     .holds_lease = [this](time_point) { return lease; },
                     .report_soon = [this] { ++reports; },
-                    .ask_tokens = [this](std::uint64_t number,
-                                         const token_asks& asks) { ask(number, asks); }})
+                    .ask_tokens = [this](std::uint64_t number, const token_asks& asks,
+                                         bool) { ask(number, asks); },
+                    .control_answered_at =
+                        [this] {
+                            answered_at = control_answers ? now : answered_at;
+                            return answered_at;
+                        }})
     {
         state.index = 10;
         state.declared.version = 1;
@@ -87,9 +93,14 @@
         }
         token_shares shares;
         for (const auto& [name, it] : asks) {
-            const declared_customer& limits = state.declared.customers.at(name);
+            const auto customer = state.declared.customers.find(name);
+            if (customer == state.declared.customers.end()) {
+                shares[name] = {.retry_after_ms = 100};
+                continue;
+            }
             shares[name] =
-                give_tokens(tokens, {}, name, {limits.rate, limits.burst}, "entry", it, now);
+                give_tokens(tokens, {}, name, {customer->second.rate, customer->second.burst},
+                            "entry", it, now);
         }
         sessions.on_tokens(number, shares);
     }
@@ -541,6 +552,28 @@
     CHECK(is_success(vm.last));
 }
 
+TEST_CASE("a caller that comes before the first configuration waits for it, but not for long",
+          "[sessions]")
+{
+    vm_fixture vm;
+    const declared_configuration conf = std::exchange(vm.state.declared, {});
+    vm.sessions.on_configuration();
+    REQUIRE_FALSE(vm.sessions.is_configured());
+    int called = 0;
+    vm.sessions.await_configuration([&] { ++called; });
+    vm.pass(milliseconds(500));
+    CHECK(called == 0);
+    vm.state.declared = conf;
+    vm.sessions.on_configuration();
+    CHECK(called == 1);
+    vm.state.declared = {};
+    vm.sessions.on_configuration();
+    vm.sessions.await_configuration([&] { ++called; });
+    vm.pass(milliseconds(1600));
+    // Callers close what is not open after two seconds.
+    CHECK(called == 2);
+}
+
 TEST_CASE("a caller that leaves while it waits for a token is forgotten", "[sessions]")
 {
     vm_fixture vm;
