--- a/core/statements/statement.h
+++ b/core/statements/statement.h
@@ -62,6 +62,28 @@
     in_doubt,
 };
 
+/// Name of a code in log lines.
+inline const char* to_string(statement_error_code code)
+{
+    switch (code) {
+        case statement_error_code::busy: return "busy";
+        case statement_error_code::aborted: return "aborted";
+        case statement_error_code::lagging: return "lagging";
+        case statement_error_code::read_only: return "read_only";
+        case statement_error_code::misrouted: return "misrouted";
+        case statement_error_code::too_many: return "too_many";
+        case statement_error_code::failed: return "failed";
+        case statement_error_code::unknown_statement: return "unknown_statement";
+        case statement_error_code::timeout: return "timeout";
+        case statement_error_code::not_authorized: return "not_authorized";
+        case statement_error_code::unknown_database: return "unknown_database";
+        case statement_error_code::too_large: return "too_large";
+        case statement_error_code::malformed: return "malformed";
+        case statement_error_code::in_doubt: return "in_doubt";
+    }
+    return "?";
+}
+
 /// A failed statement.
 struct statement_error {
     statement_error_code code = statement_error_code::failed;
--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -34,6 +34,9 @@
     bool lost = false;
 };
 
+/// True for a statement of its own, without a beginning or an end on the wire.
+inline bool is_single(const caller_transaction& it) { return it.begin_id.empty(); }
+
 /// A statement that a caller waits for.
 struct pending_statement {
     statement sent;
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -91,7 +91,7 @@
 {
     const std::unique_ptr<pending_statement> done = std::move(session.pending);
     const time_point now = hooks_.now();
-    if (session.transaction && session.transaction->begin_id.empty()) {
+    if (session.transaction && is_single(*session.transaction)) {
         end_transaction(session);
     }
     session.active_at = now;
@@ -242,7 +242,7 @@
 void session_service::start_operation(caller_session& session)
 {
     session.transaction = std::exchange(session.pending->opening, std::nullopt);
-    if (!session.transaction->begin_id.empty()) {
+    if (!is_single(*session.transaction)) {
         session.state = session_state::in_transaction;
         answer_success(session);
         return;
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -185,6 +185,8 @@
     void retry(caller_session& session, const std::string& instance, const std::string& reason);
     void finish_lost(caller_session& session, const std::string& reason);
     void release_link(const pooled_link_ptr& link);
+    /// Closes a connection on which something may have run without an answer.
+    void break_link(const pooled_link_ptr& link);
     void drop_link(const pooled_link_ptr& link);
     caller_session* find_session(std::uint64_t number);
     instance_pool* find_pool(const std::string& instance, service_state** service);
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -10,13 +10,6 @@
 /// Code for a lost statement that had not been sent, or that only read.
 constexpr statement_error_code not_run = statement_error_code::busy;
 
-std::string code_text(statement_error_code code) { return std::to_string(static_cast<int>(code)); }
-
-bool is_single(const caller_session& session)
-{
-    return session.transaction && session.transaction->begin_id.empty();
-}
-
 }  // namespace
 
 void session_service::on_started(const pooled_link_ptr& link, const statement_answer& it)
@@ -130,7 +123,7 @@
     caller_transaction& transaction = *session.transaction;
     service_state& service = services_[transaction.route.service];
     const statement_kind kind = session.pending->sent.kind;
-    const bool single = is_single(session);
+    const bool single = is_single(*session.transaction);
     const bool ends = kind == statement_kind::commit || kind == statement_kind::rollback;
     const bool commits = transaction.wrote && (single || kind == statement_kind::commit);
     if (kind != statement_kind::rollback && !still_valid(session, service)) {
@@ -191,7 +184,7 @@
     if (instance_pool* const pool = find_pool(link->instance, nullptr)) {
         note_refusal(service, *pool, code);
     }
-    const bool single = is_single(session);
+    const bool single = is_single(*session.transaction);
     const bool reads = !writes(session, session.pending->sent);
     const bool failed =
         code == statement_error_code::failed || code == statement_error_code::timeout;
@@ -204,14 +197,14 @@
         const std::string name = link->instance;
         release_link(link);
         if (session.pending) {
-            retry(session, name, "code " + code_text(code));
+            retry(session, name, std::string("refused: ") + to_string(code));
         }
         return;
     }
     log_event(event_id::statement_failed, {{"id", session.pending->sent.id},
                                            {"database", session.database},
                                            {"instance", link->instance},
-                                           {"code", code_text(code)},
+                                           {"code", to_string(code)},
                                            {"sent", "yes"}});
     const bool ends = session.pending->sent.kind == statement_kind::commit ||
                       session.pending->sent.kind == statement_kind::rollback;
@@ -256,7 +249,7 @@
 void session_service::finish_lost(caller_session& session, const std::string& reason)
 {
     caller_transaction& transaction = *session.transaction;
-    const bool single = is_single(session);
+    const bool single = is_single(*session.transaction);
     const bool sent = session.pending->main_sent;
     const bool commits = session.pending->sent.kind == statement_kind::commit;
     const bool in_doubt = sent && transaction.wrote && (single || commits);
@@ -290,6 +283,12 @@
     answer(session, {.result = error, .state = after});
 }
 
+void session_service::break_link(const pooled_link_ptr& link)
+{
+    link->io.close();
+    on_link_end(link, link_end::broken, {});
+}
+
 void session_service::on_link_end(const pooled_link_ptr& link, link_end why,
                                   const statement_error& error)
 {
@@ -329,7 +328,7 @@
     }
     pending_statement& pending = *session->pending;
     const bool first = pending.attempts > 0;
-    const bool repeatable = is_single(*session) && !writes(*session, pending.sent);
+    const bool repeatable = is_single(*session->transaction) && !writes(*session, pending.sent);
     const bool untouched = first && !pending.main_sent;
     // Nothing was sent to an instance that could not be reached, and nothing ran behind an opening
     // line that was refused. A connection that broke, accepted or not, promises nothing.
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -41,8 +41,7 @@
     if (transaction.route.consistency == read_consistency::primary) {
         return true;
     }
-    const bool single = transaction.begin_id.empty();
-    return single ? writes(session, session.pending->sent) : !transaction.read_only;
+    return is_single(transaction) ? writes(session, session.pending->sent) : !transaction.read_only;
 }
 
 bool session_service::may_use_primary(const service_state& service, time_point now) const
@@ -341,7 +340,7 @@
     pending.sent.floor.reset();
     const auto floor = transaction.under_lease ? std::nullopt : floor_of(session, service, now);
     set_up_link(session, *link);
-    if (!transaction.begin_id.empty()) {
+    if (!is_single(transaction)) {
         send(*link,
              {.kind =
                   transaction.read_only ? statement_kind::begin_read_only : statement_kind::begin,
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -142,8 +142,7 @@
             }
         }
         for (const pooled_link_ptr& link : gone) {
-            link->io.close();
-            on_link_end(link, link_end::broken, {});
+            break_link(link);
         }
         std::erase_if(service.pools, [&](const auto& entry) {
             return listed.contains(entry.first) && listed.at(entry.first)->service != name;
@@ -176,8 +175,7 @@
         }
     }
     for (const pooled_link_ptr& link : gone) {
-        link->io.close();
-        on_link_end(link, link_end::broken, {});
+        break_link(link);
     }
     for (const std::string& it : names) {
         service.pools.erase(it);
@@ -232,15 +230,14 @@
     }
     const pooled_link_ptr link = transaction.link;
     const bool unaccepted = !link->started && now - link->opened_at > options_.connect_timeout;
-    const bool reads = transaction.begin_id.empty() && !writes(session, pending.sent);
+    const bool reads = is_single(transaction) && !writes(session, pending.sent);
     const auto patience = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, duration::period>(transaction.route.statement_timeout) *
         options_.read_attempt_part);
     const bool slow = reads && pending.attempts < 2 && now - pending.dispatched_at > patience;
     if (unaccepted || slow) {
         // What was sent may have arrived, although nothing came back.
-        link->io.close();
-        on_link_end(link, link_end::broken, {});
+        break_link(link);
     }
 }
 
