Answer every caller before an entry that stops ends

Ruled out: a crash (the entry ended in order), the caller's own time.

Change: from two thirds of the grace time on nothing new is begun (BUSY, come back in 50 ms) and sessions end with the answer that they wait for; from five sixths on the process waits for answers only; 400 ms before the end whoever still waits is answered, in doubt where something may have run. The process stays 50 ms longer than its last answer, which the event loop has to send.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -21,6 +21,9 @@
 
 using namespace balsamdrift;
 
+/// The event loop sends what was written within this time.
+constexpr milliseconds flush_time(50);
+
 constexpr milliseconds tick_interval(10);
 
 int to_int(exit_code code) { return static_cast<int>(code); }
@@ -204,8 +207,15 @@
     if (elapsed >= settings.drain_notice) {
         entry.end_idle_sessions();
     }
+    if (elapsed >= settings.last_call) {
+        entry.begin_closing();
+    }
     const bool drained = elapsed >= settings.drain_notice && entry.is_drained();
-    return drained || elapsed >= settings.drain_limit;
+    const bool rests = elapsed >= settings.drain_limit && !entry.is_answering();
+    if (elapsed >= settings.answer_limit) {
+        entry.finish_pending();
+    }
+    return drained || rests || elapsed >= settings.answer_limit;
 }
 
 int run_statement_entry(const statement_entry_settings& settings)
@@ -231,12 +241,18 @@
     log_event(event_id::process_started, {{"role", "statement_entry"}});
     report_ready("callers=" + to_string(value_of(started)));
     std::optional<time_point> stop_began;
+    std::optional<time_point> answered_at;
     QTimer watch;
     QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
         if (take_reload_request()) {
             reload(FLAGS_settings);
         }
-        if (stop_requested() && advance_stop(entry, settings, stop_began, monotonic_clock::now())) {
+        const time_point now = monotonic_clock::now();
+        if (!answered_at && stop_requested() && advance_stop(entry, settings, stop_began, now)) {
+            answered_at = now;
+        }
+        // The last answers are still in the buffers of their connections.
+        if (answered_at && now - *answered_at >= flush_time) {
             QCoreApplication::quit();
         }
     });
--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -12,6 +12,9 @@
 constexpr std::int64_t most_threads = 64;
 constexpr std::int64_t most_disks_lost = 4;
 
+/// A process needs this to send its last answers and to end its threads.
+constexpr milliseconds exit_time(400);
+
 /// Larger values are taken for mistakes.
 constexpr double most_rate_slack = 10000;
 constexpr std::int64_t kibibyte = 1024;
@@ -220,7 +223,9 @@
     settings_reader stop = root.section("stop", false);
     const duration grace = stop.span("grace", settings.drain_limit * 6 / 5);
     settings.transaction_limit = grace / 2;
+    settings.last_call = grace * 2 / 3;
     settings.drain_limit = grace * 5 / 6;
+    settings.answer_limit = std::max(grace - exit_time, settings.drain_limit);
     settings.drain_notice = std::min(settings.drain_notice, settings.transaction_limit);
     (void)stop.finish();
     settings.common = std::move(common);
--- a/apps/daemon_settings.h
+++ b/apps/daemon_settings.h
@@ -59,8 +59,12 @@
     duration drain_notice = milliseconds(2500);
     /// Then sessions end as they come to rest, and after this open transactions end too.
     duration transaction_limit = seconds(3);
-    /// A stop ends whatever is left after this.
+    /// From then on nothing new is begun, and sessions end with the answer that they wait for.
+    duration last_call = seconds(4);
+    /// A stop waits for answers only after this.
     duration drain_limit = seconds(5);
+    /// Whatever still waits is answered now, and the process ends.
+    duration answer_limit = milliseconds(5600);
 };
 
 /// Settings of any role.
--- a/entry/statement_entry.h
+++ b/entry/statement_entry.h
@@ -48,6 +48,15 @@
     /// Ends open transactions; their callers hear that nothing of them is kept.
     void abort_transactions() { sessions_.abort_transactions(); }
 
+    /// Answers what runs, refuses what comes, and ends sessions as they come to rest.
+    void begin_closing() { sessions_.begin_closing(); }
+
+    /// Answers whatever still waits, because the process ends now.
+    void finish_pending() { sessions_.finish_pending(); }
+
+    /// True while a caller waits for an answer.
+    bool is_answering() const { return sessions_.is_answering(); }
+
     /// True when no caller is connected.
     bool is_drained() const { return sessions_.open_sessions() == 0; }
 
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -12,6 +12,9 @@
 /// Successful statements are logged once in this many.
 constexpr std::uint64_t success_sample = 256;
 
+/// Other VMs serve the caller at once.
+constexpr milliseconds stopping_retry(50);
+
 std::string milliseconds_text(duration span)
 {
     return std::to_string(to_milliseconds(span).count());
@@ -152,6 +155,12 @@
         .sent = std::move(sent), .on_answer = std::move(on_answer), .arrived_at = now});
     const bool ends = it->pending->sent.kind == statement_kind::rollback ||
                       it->pending->sent.kind == statement_kind::commit;
+    if (closing_ && it->state == session_state::idle) {
+        log_refusal(*it, "stopping", stopping_retry);
+        answer_error(*it, statement_error_code::busy,
+                     "retry-after-ms=" + milliseconds_text(stopping_retry) + " the VM stops");
+        return;
+    }
     switch (it->state) {
         case session_state::failed_transaction:
             if (ends) {
@@ -440,6 +449,40 @@
     }
 }
 
+void session_service::begin_closing()
+{
+    closing_ = true;
+    end_idle_sessions(duration{0});
+}
+
+bool session_service::is_answering() const
+{
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& entry) { return entry.second->pending != nullptr; });
+}
+
+void session_service::finish_pending()
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [number, it] : sessions_) {
+        if (it->pending) {
+            waiting.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : waiting) {
+        caller_session* const session = find_session(number);
+        if (session == nullptr || !session->pending) {
+            continue;
+        }
+        if (session->transaction) {
+            finish_lost(*session, "the VM stops");
+        }
+        else {
+            answer_error(*session, statement_error_code::busy, "the VM stops");
+        }
+    }
+}
+
 void session_service::abort_transactions()
 {
     for (const auto& [number, it] : sessions_) {
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -115,6 +115,16 @@
     /// Ends sessions that rest outside transactions.
     void end_idle_sessions(duration idle_for);
 
+    /// Takes no further operations: what runs is answered, what comes is refused, and sessions end
+    /// as soon as they rest outside a transaction. Called again and again until the process ends.
+    void begin_closing();
+
+    /// Answers whatever still waits, because the process ends now.
+    void finish_pending();
+
+    /// True while a caller waits for an answer.
+    bool is_answering() const;
+
     /// Ends open transactions: nothing of them is kept.
     void abort_transactions();
 
@@ -223,6 +233,7 @@
     time_point lease_seen_at_{};
     /// Callers that wait for the first configuration, and until when.
     std::deque<std::pair<time_point, std::function<void()>>> early_callers_;
+    bool closing_ = false;
     std::uint64_t next_session_ = 1;
     std::uint64_t next_link_ = 1;
     std::uint64_t next_queue_number_ = 1;
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -574,6 +574,43 @@
     CHECK(called == 2);
 }
 
+TEST_CASE("a VM that stops answers what runs and refuses what comes", "[sessions]")
+{
+    vm_fixture vm;
+    const auto first = vm.open_session("strict");
+    const auto second = vm.open_session("strict");
+    CHECK(is_success(vm.run(first, read_of("x"))));
+    vm.begin(first, read_of("x"));
+    const auto running = vm.answered;
+    vm.sessions.begin_closing();
+    CHECK(vm.sessions.is_answering());
+    // The answer to the first comes later, so this is the refusal of the second.
+    vm.begin(second, read_of("x"));
+    REQUIRE(*vm.answered);
+    CHECK(error_code_of(vm.last) == statement_error_code::busy);
+    vm.pass(milliseconds(50));
+    CHECK(*running);
+    CHECK(is_success(vm.last));
+    CHECK_FALSE(vm.sessions.is_answering());
+}
+
+TEST_CASE("a VM that ends leaves no caller without an answer", "[sessions]")
+{
+    vm_fixture vm;
+    vm.instances["a"].silent = true;
+    const auto writer = vm.open_session("strict");
+    vm.begin(writer, write_of("x"));
+    vm.pass(milliseconds(50));
+    const auto write = vm.answered;
+    REQUIRE_FALSE(*write);
+    vm.sessions.begin_closing();
+    vm.sessions.finish_pending();
+    CHECK(*write);
+    // It may have run.
+    CHECK(error_code_of(vm.last) == statement_error_code::in_doubt);
+    CHECK_FALSE(vm.sessions.is_answering());
+}
+
 TEST_CASE("a caller that leaves while it waits for a token is forgotten", "[sessions]")
 {
     vm_fixture vm;
