Serve callers that come while the last answers are sent

Ruled out: the end of open transactions at half of the grace time (the read was a statement of its own).

Change: no connection is accepted in that time, and a caller whose connection had been accepted before is served until it leaves.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -248,11 +248,17 @@
             reload(FLAGS_settings);
         }
         const time_point now = monotonic_clock::now();
-        if (!answered_at && stop_requested() && advance_stop(entry, settings, stop_began, now)) {
+        if (!stop_requested() || !advance_stop(entry, settings, stop_began, now)) {
+            // A caller whose connection was accepted before the last one left is served as well.
+            answered_at.reset();
+            return;
+        }
+        if (!answered_at) {
             answered_at = now;
+            entry.stop_accepting();
         }
         // The last answers are still in the buffers of their connections.
-        if (answered_at && now - *answered_at >= flush_time) {
+        if (now - *answered_at >= flush_time) {
             QCoreApplication::quit();
         }
     });
--- a/entry/statement_entry.h
+++ b/entry/statement_entry.h
@@ -48,6 +48,9 @@
     /// Ends open transactions; their callers hear that nothing of them is kept.
     void abort_transactions() { sessions_.abort_transactions(); }
 
+    /// Takes no further connections.
+    void stop_accepting() { front_.stop_accepting(); }
+
     /// Answers what runs, refuses what comes, and ends sessions as they come to rest.
     void begin_closing() { sessions_.begin_closing(); }
 
