Show the limit of a customer's rate under a flood, cuts and elections

Cause: with the cap on what entries keep taken out, or with cut-off entries not left out of the pool, every test still passed: the property test loads the entries too little.

It fails with either mechanism taken out (run on a scratch copy).

--- a/core/tests/token_pool_test.cpp
+++ b/core/tests/token_pool_test.cpp
@@ -1,7 +1,10 @@
 #include "core/rates/token_pool.h"
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <random>
 #include <rapidcheck/catch.h>
 #include <set>
 
@@ -285,6 +288,55 @@
     });
 }
 
+TEST_CASE("the limit holds for a customer at many times its rate, whoever is cut off or leads",
+          "[rates]")
+{
+    // Entries keep all that they may when the flood begins; then control goes silent or is replaced
+    // and up to half of the entries are cut off, at random.
+    constexpr int seeds = 100;
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto pick = [&](int low, int high) {
+            return std::uniform_int_distribution<int>(low, high)(random);
+        };
+        fleet_fixture fleet;
+        fleet.limits.rate = std::array{5, 10, 26, 80, 136}.at(static_cast<std::size_t>(pick(0, 4)));
+        fleet.limits.burst = pick(0, 2) == 0 ? fleet.limits.rate / 4 : fleet.limits.rate;
+        const int count = std::array{3, 6, 9, 64}.at(static_cast<std::size_t>(pick(0, 3)));
+        const auto any_entry = [&] { return "e" + std::to_string(pick(0, count - 1)); };
+        for (int n = 0; n < count; ++n) {
+            fleet.entries["e" + std::to_string(n)];
+        }
+        fleet.pass(milliseconds(pick(0, 12000)));
+        const int factor = pick(2, 8);
+        double owed = 0;
+        time_point back_at{};
+        for (const time_point end = fleet.now + seconds(pick(6, 14)); fleet.now < end;) {
+            for (owed += fleet.limits.rate * factor / 100; owed >= 1; owed -= 1) {
+                fleet.arrive(any_entry());
+            }
+            const int trouble = pick(0, 400);
+            if (trouble == 0 && fleet.control_up) {
+                fleet.control_up = false;
+                back_at = fleet.now + milliseconds(pick(600, 2000));
+            }
+            if (!fleet.control_up && fleet.now >= back_at) {
+                fleet.control_up = true;
+                fleet.pool = {.customers = {}, .began_at = fleet.now};
+            }
+            if (trouble == 1 || trouble == 2) {
+                fleet.cut_off.clear();
+            }
+            for (int n = pick(1, std::max(1, count / 2)); trouble == 1 && n > 0; --n) {
+                fleet.cut_off.insert(any_entry());
+            }
+            fleet.pass(milliseconds(10));
+        }
+        REQUIRE(fleet.busiest_window() <= fleet.allowed());
+    }
+}
+
 TEST_CASE("callers that come back are told to come one after the other", "[rates]")
 {
     token_stock stock;
