--- a/core/tests/token_pool_test.cpp
+++ b/core/tests/token_pool_test.cpp
@@ -281,7 +281,8 @@
             }
             else if (trouble == 1) {
                 // A process restarts and has nothing.
-                fleet.entries[entry] = {.question = 1'000'000U * static_cast<unsigned>(n + 1)};
+                fleet.entries[entry] = {.question =
+                                            1'000'000ULL * static_cast<std::uint64_t>(n + 1)};
             }
         }
         RC_ASSERT(fleet.busiest_window() <= fleet.allowed());
