--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -21,9 +21,6 @@
 
 using namespace balsamdrift;
 
-/// The event loop sends what was written within this time.
-constexpr milliseconds flush_time(50);
-
 constexpr milliseconds tick_interval(10);
 
 int to_int(exit_code code) { return static_cast<int>(code); }
@@ -54,11 +51,33 @@
     log_event(event_id::settings_reloaded);
 }
 
+fleet_options fleet_options_of(const common_settings& common)
+{
+    return {.listen = common.fleet_listen,
+            .advertised = common.fleet_advertised,
+            .secret = common.fleet_secret};
+}
+
+/// Runs the event loop and reads the settings again when asked. `is_done` is asked every few
+/// milliseconds whether the process can exit.
+void run_events(const std::function<bool()>& is_done)
+{
+    QTimer watch;
+    QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
+        if (take_reload_request()) {
+            reload(FLAGS_settings);
+        }
+        if (is_done()) {
+            QCoreApplication::quit();
+        }
+    });
+    watch.start(tick_interval);
+    QCoreApplication::exec();
+}
+
 int run_control(const control_settings& settings)
 {
-    fleet_node fleet({.listen = settings.common.fleet_listen,
-                      .advertised = settings.common.fleet_advertised,
-                      .secret = settings.common.fleet_secret});
+    fleet_node fleet(fleet_options_of(settings.common));
     QObject orders_owner;
     platform_orders orders;
     if (settings.coordination) {
@@ -95,18 +114,8 @@
     }
     log_event(event_id::process_started, {{"role", "control"}});
     report_ready("operators=" + to_string(value_of(listening)));
-    QTimer watch;
-    QObject::connect(&watch, &QTimer::timeout, &watch, [] {
-        if (take_reload_request()) {
-            reload(FLAGS_settings);
-        }
-        if (stop_requested()) {
-            log_event(event_id::process_stopping);
-            QCoreApplication::quit();
-        }
-    });
-    watch.start(tick_interval);
-    QCoreApplication::exec();
+    run_events(stop_requested);
+    log_event(event_id::process_stopping);
     fleet.stop();
     if (platform) {
         platform->stop();
@@ -149,9 +158,7 @@
 
 int run_entry(const entry_settings& settings)
 {
-    fleet_node fleet({.listen = settings.common.fleet_listen,
-                      .advertised = settings.common.fleet_advertised,
-                      .secret = settings.common.fleet_secret});
+    fleet_node fleet(fleet_options_of(settings.common));
     std::unique_ptr<entry_service> entry;
     std::atomic<entry_service*> receiver = nullptr;
     auto listening = fleet.start([&](fleet_message it) {
@@ -172,18 +179,10 @@
     report_ready("callers=" + to_string(value_of(started).callers) +
                  " platform=" + to_string(value_of(started).platform));
     entry_stop stop(*entry, settings);
-    QTimer watch;
-    QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
+    run_events([&] {
         entry->tick();
-        if (take_reload_request()) {
-            reload(FLAGS_settings);
-        }
-        if (stop_requested() && stop.advance(monotonic_clock::now())) {
-            QCoreApplication::quit();
-        }
+        return stop_requested() && stop.advance(monotonic_clock::now());
     });
-    watch.start(tick_interval);
-    QCoreApplication::exec();
     entry->stop();
     receiver = nullptr;
     fleet.stop();
@@ -191,38 +190,9 @@
     return to_int(exit_code::success);
 }
 
-/// Takes an entry that runs statements itself from its stop request to its end.
-bool advance_stop(statement_entry& entry, const statement_entry_settings& settings,
-                  std::optional<time_point>& began, time_point now)
-{
-    if (!began) {
-        began = now;
-        log_event(event_id::process_stopping);
-        entry.begin_drain();
-    }
-    const duration elapsed = now - *began;
-    if (elapsed >= settings.transaction_limit) {
-        entry.abort_transactions();
-    }
-    if (elapsed >= settings.drain_notice) {
-        entry.end_idle_sessions();
-    }
-    if (elapsed >= settings.last_call) {
-        entry.begin_closing();
-    }
-    const bool drained = elapsed >= settings.drain_notice && entry.is_drained();
-    const bool rests = elapsed >= settings.drain_limit && !entry.is_answering();
-    if (elapsed >= settings.answer_limit) {
-        entry.finish_pending();
-    }
-    return drained || rests || elapsed >= settings.answer_limit;
-}
-
 int run_statement_entry(const statement_entry_settings& settings)
 {
-    fleet_node fleet({.listen = settings.common.fleet_listen,
-                      .advertised = settings.common.fleet_advertised,
-                      .secret = settings.common.fleet_secret});
+    fleet_node fleet(fleet_options_of(settings.common));
     std::atomic<statement_entry*> receiver = nullptr;
     auto listening = fleet.start([&](fleet_message it) {
         if (statement_entry* const to = receiver.load()) {
@@ -240,30 +210,11 @@
     receiver = &entry;
     log_event(event_id::process_started, {{"role", "statement_entry"}});
     report_ready("callers=" + to_string(value_of(started)));
-    std::optional<time_point> stop_began;
-    std::optional<time_point> answered_at;
-    QTimer watch;
-    QObject::connect(&watch, &QTimer::timeout, &watch, [&] {
-        if (take_reload_request()) {
-            reload(FLAGS_settings);
-        }
-        const time_point now = monotonic_clock::now();
-        if (!stop_requested() || !advance_stop(entry, settings, stop_began, now)) {
-            // A caller whose connection was accepted before the last one left is served as well.
-            answered_at.reset();
-            return;
-        }
-        if (!answered_at) {
-            answered_at = now;
-            entry.stop_accepting();
-        }
-        // The last answers are still in the buffers of their connections.
-        if (now - *answered_at >= flush_time) {
-            QCoreApplication::quit();
-        }
+    stop_progress progress;
+    run_events([&] {
+        return stop_requested() &&
+               advance_stop(entry, settings.stop, progress, monotonic_clock::now());
     });
-    watch.start(tick_interval);
-    QCoreApplication::exec();
     entry.stop();
     receiver = nullptr;
     fleet.stop();
--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -220,14 +220,15 @@
     entry.control = fleet_addresses(control.addresses("seed_hosts"), common.fleet_listen);
     entry.lease_renew_interval = control.span("lease_renew_interval", entry.lease_renew_interval);
     (void)control.finish();
-    settings_reader stop = root.section("stop", false);
-    const duration grace = stop.span("grace", settings.drain_limit * 6 / 5);
-    settings.transaction_limit = grace / 2;
-    settings.last_call = grace * 2 / 3;
-    settings.drain_limit = grace * 5 / 6;
-    settings.answer_limit = std::max(grace - exit_time, settings.drain_limit);
-    settings.drain_notice = std::min(settings.drain_notice, settings.transaction_limit);
-    (void)stop.finish();
+    settings_reader section = root.section("stop", false);
+    stop_options& stop = settings.stop;
+    const duration grace = section.span("grace", stop.drain_limit * 6 / 5);
+    stop.transaction_limit = grace / 2;
+    stop.last_call = grace * 2 / 3;
+    stop.drain_limit = grace * 5 / 6;
+    stop.answer_limit = std::max(grace - exit_time, stop.drain_limit);
+    stop.drain_notice = std::min(stop.drain_notice, stop.transaction_limit);
+    (void)section.finish();
     settings.common = std::move(common);
     return settings;
 }
--- a/apps/daemon_settings.h
+++ b/apps/daemon_settings.h
@@ -12,6 +12,7 @@
 #include "control/control_options.h"
 #include "entry/entry_service.h"
 #include "entry/statement_entry.h"
+#include "entry/stop_step.h"
 
 namespace balsamdrift {
 
@@ -55,16 +56,7 @@
 struct statement_entry_settings {
     common_settings common;
     statement_entry_options entry;
-    /// A stop serves on for this long, so that the balancer sends new callers elsewhere.
-    duration drain_notice = milliseconds(2500);
-    /// Then sessions end as they come to rest, and after this open transactions end too.
-    duration transaction_limit = seconds(3);
-    /// From then on nothing new is begun, and sessions end with the answer that they wait for.
-    duration last_call = seconds(4);
-    /// A stop waits for answers only after this.
-    duration drain_limit = seconds(5);
-    /// Whatever still waits is answered now, and the process ends.
-    duration answer_limit = milliseconds(5600);
+    stop_options stop;
 };
 
 /// Settings of any role.
