Make one piece of what stood several times, drop what nothing used

Found on reading the whole change again; behaviour as before but for one log field.

- Spans times a factor, spans as milliseconds in a text, and float seconds were written in four, four and two places: base/time.h has them.
- `retry-after-ms=` was put together in eight places, some with bare figures: one function, named times.
- Every answer of an instance looked for its pool in all services; a connection knows its service now.
- Control wrapped each message by hand in nine places, and copied each applied log entry twice.
- Members that nothing read: a connection's number, a pending statement's epoch and lease, a count of busy sessions.

The field retry_after_ms of statements that waited in vain said 50 while the caller was told 100; both say 100 now.

--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -43,8 +43,7 @@
     if (ec != std::errc{} || ptr != end || unit == span_units.end()) {
         return failure{"a span with its unit, such as 250ms, 1.5s, 1m or 1h"};
     }
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(unit->one) * value);
+    return scaled(unit->one, value);
 }
 
 outcome<duration> parse_span(const std::string& text)
--- a/base/time.h
+++ b/base/time.h
@@ -3,6 +3,7 @@
 #include <time.h>
 
 #include <chrono>
+#include <string>
 
 namespace balsamdrift {
 
@@ -32,7 +33,23 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// Seconds with a fraction, for rates and averages.
+using float_seconds = std::chrono::duration<double>;
+
 /// Rounds a span up to whole milliseconds, so that a caller never returns too early.
 inline milliseconds to_milliseconds(duration span) { return std::chrono::ceil<milliseconds>(span); }
 
+/// The span in whole milliseconds, as texts and log lines hold it.
+inline std::string milliseconds_text(duration span)
+{
+    return std::to_string(to_milliseconds(span).count());
+}
+
+/// A multiple or a part of a span.
+inline duration scaled(duration span, double factor)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, duration::period>(span) * factor);
+}
+
 }  // namespace balsamdrift
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -245,7 +245,7 @@
         }
         registry_.index = it.index;
         answers.push_back(std::move(result));
-        remember_recent(for_entries);
+        remember_recent(std::move(for_entries));
     }
     // Entries are told with the next tick: when all of them register at once, each would otherwise
     // hear of every other one by itself.
@@ -257,10 +257,10 @@
     }
 }
 
-void control_service::remember_recent(const log_entry& entry)
+void control_service::remember_recent(log_entry entry)
 {
-    recent_.push_back(entry);
     recent_bytes_ += entry.data.size();
+    recent_.push_back(std::move(entry));
     while (recent_.size() > kept_recent_entries ||
            (recent_bytes_ > kept_recent_bytes && recent_.size() > 1)) {
         recent_bytes_ -= recent_.front().data.size();
@@ -364,18 +364,30 @@
 void control_service::send_grant(const std::string& address, const std::string& origin,
                                  const lease_grant& grant)
 {
-    const lease_message message =
-        origin.empty() ? lease_message(grant) : lease_message(relayed_lease_grant{origin, grant});
+    if (origin.empty()) {
+        send_message(address, grant);
+    }
+    else {
+        send_message(address, relayed_lease_grant{origin, grant});
+    }
+}
+
+void control_service::send_message(const std::string& address, const lease_message& message)
+{
     fleet_.send(address, fleet_channel::lease, encode_variant(message));
 }
 
+void control_service::refuse_not_leading(const std::string& address)
+{
+    send_message(address, not_leader{leader_address()});
+}
+
 void control_service::take_lease_request(const lease_request& it, const std::string& sender,
                                          const std::string& origin)
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
-        fleet_.send(sender, fleet_channel::lease,
-                    encode_variant(lease_message(not_leader{leader_address()})));
+        refuse_not_leading(sender);
         return;
     }
     const auto known = registry_.entries.find(it.entry);
@@ -522,12 +534,10 @@
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
-        fleet_.send(sender, fleet_channel::lease,
-                    encode_variant(lease_message(not_leader{leader_address()})));
+        refuse_not_leading(sender);
         return;
     }
-    fleet_.send(sender, fleet_channel::lease,
-                encode_variant(lease_message(coordinator_.answer(registry_, it, now))));
+    send_message(sender, coordinator_.answer(registry_, it, now));
 }
 
 void control_service::handle(const rate_answer&, const std::string&) {}
@@ -551,11 +561,10 @@
     if (!holds_leadership(*consensus_, monotonic_clock::now())) {
         return;
     }
-    serve_submission(
-        it.command, [this, id = it.id, sender](bool settled, const std::string& document) {
-            fleet_.send(sender, fleet_channel::lease,
-                        encode_variant(lease_message(relayed_answer{id, settled, document})));
-        });
+    serve_submission(it.command,
+                     [this, id = it.id, sender](bool settled, const std::string& document) {
+                         send_message(sender, relayed_answer{id, settled, document});
+                     });
 }
 
 void control_service::handle(const relayed_answer& it, const std::string&)
@@ -578,8 +587,7 @@
                 coordinator_.note(it, now);
             }
             else if (const std::string leader = leader_address(); !leader.empty()) {
-                fleet_.send(leader, fleet_channel::lease,
-                            encode_variant(lease_message(relayed_heartbeat{it})));
+                send_message(leader, relayed_heartbeat{it});
             }
         },
         Qt::QueuedConnection);
@@ -593,8 +601,7 @@
             coordinator_.remove(instance);
             const std::string leader = leader_address();
             if (!leader.empty() && leader != fleet_.address()) {
-                fleet_.send(leader, fleet_channel::lease,
-                            encode_variant(lease_message(relayed_goodbye{instance})));
+                send_message(leader, relayed_goodbye{instance});
             }
         },
         Qt::QueuedConnection);
@@ -644,8 +651,7 @@
     const std::string leader = leader_address();
     if (!leader.empty() && leader != fleet_.address()) {
         it.sent_at = now;
-        fleet_.send(leader, fleet_channel::lease,
-                    encode_variant(lease_message(relayed_command{id, it.command})));
+        send_message(leader, relayed_command{id, it.command});
     }
 }
 
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -139,13 +139,15 @@
                             const std::string& origin);
     void send_grant(const std::string& address, const std::string& origin,
                     const lease_grant& grant);
+    void send_message(const std::string& address, const lease_message& message);
+    void refuse_not_leading(const std::string& address);
     void add_submission(std::string command, submit_handler on_done);
     void forward_submission(std::uint64_t id, submission& it, time_point now);
     void settle_submission(std::uint64_t id, bool settled, const std::string& document);
     void serve_submission(const std::string& command, submit_handler on_done);
     void check_submissions(time_point now);
     coordinator_view make_coordinator_view() const;
-    void remember_recent(const log_entry& entry);
+    void remember_recent(log_entry entry);
     std::vector<std::string> member_addresses() const;
     lease_grant make_grant(const lease_request& it, const replica_id& entry);
     void fill_registry(lease_grant& answer, std::uint64_t known) const;
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -18,11 +18,6 @@
 /// A customer that the leader does not know yet is asked about again after this.
 constexpr milliseconds unknown_customer_retry(100);
 
-std::string milliseconds_text(duration span)
-{
-    return std::to_string(to_milliseconds(span).count());
-}
-
 }  // namespace
 
 service_coordinator::service_coordinator(platform_orders orders, token_pool_options rates,
--- a/core/queueing/admission.cpp
+++ b/core/queueing/admission.cpp
@@ -10,8 +10,7 @@
     const int parallel = std::max(request.parallel, 1);
     const duration backlog = request.mean_hold * (request.queued_ahead + 1) / parallel;
     const duration wait = request.blocked_for + backlog;
-    const auto limit = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(request.time_left) * options.waiting_part);
+    const auto limit = scaled(request.time_left, options.waiting_part);
     if (wait <= limit) {
         return admission_granted{wait};
     }
--- a/core/rates/token_bucket.cpp
+++ b/core/rates/token_bucket.cpp
@@ -5,8 +5,6 @@
 namespace balsamdrift {
 namespace {
 
-using float_seconds = std::chrono::duration<double>;
-
 void refill(token_bucket& bucket, time_point now)
 {
     if (now <= bucket.filled_at) {
--- a/core/rates/token_pool.cpp
+++ b/core/rates/token_pool.cpp
@@ -46,7 +46,7 @@
 
 double window_reserve(const token_pool_options& options, const bucket_limits& limits)
 {
-    const double over_window = limits.rate * std::chrono::duration<double>(options.window).count();
+    const double over_window = limits.rate * float_seconds(options.window).count();
     const double allowed = (over_window + limits.burst) * (1 + options.overage) + options.slack;
     return (allowed - over_window) * options.used_part;
 }
--- a/core/rates/token_stock.cpp
+++ b/core/rates/token_stock.cpp
@@ -7,8 +7,6 @@
 namespace balsamdrift {
 namespace {
 
-using float_seconds = std::chrono::duration<double>;
-
 /// Part of a quantity that is left after this time, at the pace at which demand is forgotten.
 double left_after(duration passed, const token_stock_options& options)
 {
--- a/core/statements/statement.h
+++ b/core/statements/statement.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/time.h"
 #include "core/sessions/log_position.h"
 
 namespace balsamdrift {
@@ -84,6 +85,12 @@
     return "?";
 }
 
+/// Text of an error whose caller may come back after a while.
+inline std::string come_back_text(duration retry_after, const std::string& reason)
+{
+    return "retry-after-ms=" + milliseconds_text(retry_after) + " " + reason;
+}
+
 /// A failed statement.
 struct statement_error {
     statement_error_code code = statement_error_code::failed;
--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -34,6 +34,10 @@
     bool lost = false;
 };
 
+/// What the caller of a lost transaction is told, and when it may begin it again.
+inline constexpr const char* rolled_back = "the transaction was rolled back";
+inline constexpr milliseconds rolled_back_retry(100);
+
 /// True for a statement of its own, without a beginning or an end on the wire.
 inline bool is_single(const caller_transaction& it) { return it.begin_id.empty(); }
 
@@ -51,11 +55,8 @@
     int attempts = 0;
     /// Instances that could not run it.
     std::set<std::string> excluded;
-    /// When it went to the connection, and under which record of the primary.
+    /// When it went to the connection.
     time_point dispatched_at{};
-    std::uint64_t primary_epoch = 0;
-    /// It runs at the recorded primary under this VM's lease.
-    bool under_lease = false;
     bool main_sent = false;
 };
 
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -72,9 +72,7 @@
 void note_latency(instance_pool& pool, const pool_options& options, duration took, time_point now)
 {
     const duration before = pool.latency == duration{} ? options.first_latency : pool.latency;
-    const auto change = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(took - before) * options.latency_weight);
-    pool.latency = before + change;
+    pool.latency = before + scaled(took - before, options.latency_weight);
     note_reachable(pool, now);
 }
 
--- a/pooling/pooled_link.h
+++ b/pooling/pooled_link.h
@@ -33,8 +33,8 @@
 
 /// A connection to an instance and what the instance keeps for it.
 struct pooled_link {
-    std::uint64_t number = 0;
     std::string instance;
+    std::string service;
     std::string customer;
     instance_link io;
     bool started = false;
--- a/pooling/service_state.h
+++ b/pooling/service_state.h
@@ -29,4 +29,10 @@
     std::uint64_t settled_epoch = 0;
 };
 
+/// Where a connection belongs; both null once its instance is no longer known.
+struct link_home {
+    service_state* service = nullptr;
+    instance_pool* pool = nullptr;
+};
+
 }  // namespace balsamdrift
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -12,14 +12,12 @@
 /// Successful statements are logged once in this many.
 constexpr std::uint64_t success_sample = 256;
 
+/// Control elects a leader within about a second; most callers come before its end.
+constexpr milliseconds configuration_retry(500);
+
 /// Other VMs serve the caller at once.
 constexpr milliseconds stopping_retry(50);
 
-std::string milliseconds_text(duration span)
-{
-    return std::to_string(to_milliseconds(span).count());
-}
-
 const char* result_name(const statement_answer& it) { return is_success(it) ? "ok" : "error"; }
 
 }  // namespace
@@ -64,7 +62,8 @@
         return statement_error{code, text};
     };
     if (conf.version == 0) {
-        return refuse(statement_error_code::busy, "retry-after-ms=500 no configuration yet");
+        return refuse(statement_error_code::busy,
+                      come_back_text(configuration_retry, "no configuration yet"));
     }
     const auto route = conf.routes.find(database);
     if (route == conf.routes.end()) {
@@ -82,14 +81,6 @@
     return number;
 }
 
-std::size_t session_service::busy_sessions() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& entry) {
-            return entry.second->pending || entry.second->transaction;
-        }));
-}
-
 void session_service::answer(caller_session& session, const statement_answer& it)
 {
     const std::unique_ptr<pending_statement> done = std::move(session.pending);
@@ -158,7 +149,7 @@
     if (closing_ && it->state == session_state::idle) {
         log_refusal(*it, "stopping", stopping_retry);
         answer_error(*it, statement_error_code::busy,
-                     "retry-after-ms=" + milliseconds_text(stopping_retry) + " the VM stops");
+                     come_back_text(stopping_retry, "the VM stops"));
         return;
     }
     switch (it->state) {
@@ -200,8 +191,7 @@
 {
     log_refusal(session, "rate", retry_after);
     answer_error(session, statement_error_code::too_many,
-                 "retry-after-ms=" + milliseconds_text(retry_after) +
-                     " the customer's rate is used up");
+                 come_back_text(retry_after, "the customer's rate is used up"));
 }
 
 void session_service::admit_operation(caller_session& session)
@@ -340,7 +330,7 @@
             session.state = session_state::failed_transaction;
         }
         answer_error(session, statement_error_code::aborted,
-                     "retry-after-ms=100 the transaction was rolled back");
+                     come_back_text(rolled_back_retry, rolled_back));
         return;
     }
     if (!runs && sent.kind != statement_kind::rollback) {
@@ -390,7 +380,7 @@
     end_transaction(session);
     if (commits) {
         answer_error(session, statement_error_code::aborted,
-                     "retry-after-ms=100 the transaction was rolled back");
+                     come_back_text(rolled_back_retry, rolled_back));
     }
     else {
         answer_success(session);
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -130,9 +130,6 @@
 
     std::size_t open_sessions() const { return sessions_.size(); }
 
-    /// Sessions inside a transaction or waiting for an answer.
-    std::size_t busy_sessions() const;
-
 private:
     // Sessions and statements that need no instance.
     void answer(caller_session& session, const statement_answer& it);
@@ -199,7 +196,7 @@
     void break_link(const pooled_link_ptr& link);
     void drop_link(const pooled_link_ptr& link);
     caller_session* find_session(std::uint64_t number);
-    instance_pool* find_pool(const std::string& instance, service_state** service);
+    link_home home_of(const pooled_link& link);
 
     // Changes of configuration, primaries and directory.
     void adopt_record(const std::string& name, service_state& service,
@@ -235,7 +232,6 @@
     std::deque<std::pair<time_point, std::function<void()>>> early_callers_;
     bool closing_ = false;
     std::uint64_t next_session_ = 1;
-    std::uint64_t next_link_ = 1;
     std::uint64_t next_queue_number_ = 1;
 };
 
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -15,8 +15,7 @@
 void session_service::on_started(const pooled_link_ptr& link, const statement_answer& it)
 {
     link->started = true;
-    service_state* service = nullptr;
-    instance_pool* const pool = find_pool(link->instance, &service);
+    const auto [service, pool] = home_of(*link);
     if (pool != nullptr) {
         note_reachable(*pool, hooks_.now());
         note_position(*service, *pool, it, {answer_purpose::set_up, link->opened_at});
@@ -28,13 +27,12 @@
     if (link->expected.empty()) {
         log_event(event_id::connection_discarded,
                   {{"instance", link->instance}, {"reason", "an answer to nothing"}});
-        on_link_end(link, link_end::broken, {});
+        break_link(link);
         return;
     }
     const expected_answer expected = link->expected.front();
     link->expected.pop_front();
-    service_state* service = nullptr;
-    instance_pool* const pool = find_pool(link->instance, &service);
+    const auto [service, pool] = home_of(*link);
     if (pool != nullptr) {
         note_position(*service, *pool, it, expected);
     }
@@ -72,8 +70,7 @@
                                        const statement_answer& it, answer_purpose purpose)
 {
     if (const auto code = error_code_of(it)) {
-        service_state* service = nullptr;
-        if (instance_pool* const pool = find_pool(link->instance, &service)) {
+        if (const auto [service, pool] = home_of(*link); pool != nullptr) {
             note_refusal(*service, *pool, *code);
         }
         // What the connection has set by now is not certain, so it is not used on.
@@ -137,7 +134,7 @@
     statement_answer out = it;
     if (session.state == session_state::failed_transaction && kind == statement_kind::commit) {
         out.result = statement_error{statement_error_code::aborted,
-                                     "retry-after-ms=100 the transaction was rolled back"};
+                                     come_back_text(rolled_back_retry, rolled_back)};
     }
     if (single) {
         answer(session, out);
@@ -181,7 +178,7 @@
 {
     const statement_error_code code = *error_code_of(it);
     service_state& service = services_[route_of(session).service];
-    if (instance_pool* const pool = find_pool(link->instance, nullptr)) {
+    if (instance_pool* const pool = home_of(*link).pool) {
         note_refusal(service, *pool, code);
     }
     const bool single = is_single(*session.transaction);
@@ -285,15 +282,13 @@
 
 void session_service::break_link(const pooled_link_ptr& link)
 {
-    link->io.close();
     on_link_end(link, link_end::broken, {});
 }
 
 void session_service::on_link_end(const pooled_link_ptr& link, link_end why,
                                   const statement_error& error)
 {
-    service_state* service = nullptr;
-    instance_pool* const pool = find_pool(link->instance, &service);
+    const auto [service, pool] = home_of(*link);
     if (pool != nullptr) {
         const bool full = error.code == statement_error_code::too_many;
         if (why == link_end::refused) {
@@ -327,12 +322,12 @@
         return;
     }
     pending_statement& pending = *session->pending;
-    const bool first = pending.attempts > 0;
+    const bool dispatched = pending.attempts > 0;
     const bool repeatable = is_single(*session->transaction) && !writes(*session, pending.sent);
-    const bool untouched = first && !pending.main_sent;
+    const bool untouched = dispatched && !pending.main_sent;
     // Nothing was sent to an instance that could not be reached, and nothing ran behind an opening
     // line that was refused. A connection that broke, accepted or not, promises nothing.
-    const bool refused = first && !link->started && why != link_end::broken;
+    const bool refused = dispatched && !link->started && why != link_end::broken;
     if (untouched || repeatable || refused) {
         retry(*session, link->instance, "connection lost");
         return;
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -202,9 +202,7 @@
                                    : needs_primary(session) ? "primary_unavailable"
                                                             : "overload";
         log_refusal(session, reason, retry_after);
-        finish_lost(session,
-                    "retry-after-ms=" + std::to_string(to_milliseconds(retry_after).count()) + " " +
-                        reason);
+        finish_lost(session, come_back_text(retry_after, reason));
         return;
     }
     if (!pending.queue_number) {
@@ -240,8 +238,8 @@
 pooled_link_ptr session_service::open_link(instance_pool& pool, const std::string& customer)
 {
     const time_point now = hooks_.now();
-    auto link = std::make_shared<pooled_link>(pooled_link{.number = next_link_++,
-                                                          .instance = pool.info.instance,
+    auto link = std::make_shared<pooled_link>(pooled_link{.instance = pool.info.instance,
+                                                          .service = pool.info.service,
                                                           .customer = customer,
                                                           .opened_at = now,
                                                           .used_at = now});
@@ -374,14 +372,12 @@
 {
     const time_point now = hooks_.now();
     link->session = 0;
-    service_state* service = nullptr;
-    if (find_pool(link->instance, &service) == nullptr) {
+    service_state* const service = home_of(*link).service;
+    if (service == nullptr) {
         return;
     }
     const duration held = now - link->used_at;
-    const auto change = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(held - service->mean_hold) * hold_weight);
-    service->mean_hold += change;
+    service->mean_hold += scaled(held - service->mean_hold, hold_weight);
     link->used_at = now;
     serve_queue(*service);
 }
@@ -393,23 +389,22 @@
     }
     link->io.close();
     link->session = 0;
-    if (instance_pool* const pool = find_pool(link->instance, nullptr)) {
+    if (instance_pool* const pool = home_of(*link).pool) {
         std::erase(pool->links, link);
     }
 }
 
-instance_pool* session_service::find_pool(const std::string& instance, service_state** service)
+link_home session_service::home_of(const pooled_link& link)
 {
-    for (auto& [name, it] : services_) {
-        const auto pool = it.pools.find(instance);
-        if (pool != it.pools.end()) {
-            if (service != nullptr) {
-                *service = &it;
-            }
-            return &pool->second;
-        }
+    const auto service = services_.find(link.service);
+    if (service == services_.end()) {
+        return {};
+    }
+    const auto pool = service->second.pools.find(link.instance);
+    if (pool == service->second.pools.end()) {
+        return {};
     }
-    return nullptr;
+    return {&service->second, &pool->second};
 }
 
 }  // namespace balsamdrift
--- a/pooling/session_service_upkeep.cpp
+++ b/pooling/session_service_upkeep.cpp
@@ -13,6 +13,12 @@
 /// Weight of the newest span in the measured demand.
 constexpr double demand_weight = 0.5;
 
+/// A change of primary takes about this long from its beginning.
+constexpr milliseconds replaced_retry(1000);
+
+/// Room for a statement that waited in vain is expected after this: a few statements have ended.
+constexpr milliseconds waited_retry(100);
+
 /// A primary is reported as failing for this long after a failure that nothing followed.
 constexpr milliseconds failing_memory(1500);
 
@@ -93,7 +99,7 @@
             lose_transaction(*session);
         }
         else if (!planned) {
-            finish_lost(*session, "retry-after-ms=1000 the primary is being replaced");
+            finish_lost(*session, come_back_text(replaced_retry, "the primary is being replaced"));
         }
     }
 }
@@ -217,8 +223,8 @@
     const bool waits = transaction.link == nullptr;
     if (now >= due) {
         if (waits) {
-            log_refusal(session, "waited", options_.admission.shortest_retry);
-            finish_lost(session, "retry-after-ms=100 no connection became free in time");
+            log_refusal(session, "waited", waited_retry);
+            finish_lost(session, come_back_text(waited_retry, "no connection became free in time"));
         }
         else {
             finish_lost(session, "the statement's limit was reached");
@@ -231,9 +237,8 @@
     const pooled_link_ptr link = transaction.link;
     const bool unaccepted = !link->started && now - link->opened_at > options_.connect_timeout;
     const bool reads = is_single(transaction) && !writes(session, pending.sent);
-    const auto patience = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, duration::period>(transaction.route.statement_timeout) *
-        options_.read_attempt_part);
+    const duration patience =
+        scaled(transaction.route.statement_timeout, options_.read_attempt_part);
     const bool slow = reads && pending.attempts < 2 && now - pending.dispatched_at > patience;
     if (unaccepted || slow) {
         // What was sent may have arrived, although nothing came back.
@@ -304,7 +309,7 @@
 
 void session_service::measure_demand(time_point now)
 {
-    const std::chrono::duration<double> span = now - demand_since_;
+    const float_seconds span = now - demand_since_;
     if (span < demand_span) {
         return;
     }
--- a/rig/client/caller.cpp
+++ b/rig/client/caller.cpp
@@ -29,7 +29,7 @@
 {
     const nlohmann::json body{{"sql", sql}, {"params", params}, {"access", options.access}};
     std::vector<http_header> headers{
-        {"Balsamdrift-Timeout", std::to_string(to_milliseconds(options.timeout).count()) + "ms"}};
+        {"Balsamdrift-Timeout", milliseconds_text(options.timeout) + "ms"}};
     if (!options.idempotency_key.empty()) {
         headers.push_back({"Idempotency-Key", options.idempotency_key});
     }
--- a/rig/site/site.cpp
+++ b/rig/site/site.cpp
@@ -26,8 +26,6 @@
 
 std::string local(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
-std::string ms_text(duration span) { return std::to_string(to_milliseconds(span).count()); }
-
 /// Reads `ready key=address …`.
 std::map<std::string, std::string> parse_ready(const QString& line)
 {
@@ -153,7 +151,8 @@
             << "platform:\n  listen: \"" << local(free_port()) << "\"\n"
             << "databases:\n  threads: " << options_.database_threads << "\n"
             << "control:\n  members:\n"
-            << entry_list << "stop:\n  notice: " << ms_text(options_.drain_notice) << "ms\n";
+            << entry_list << "stop:\n  notice: " << milliseconds_text(options_.drain_notice)
+            << "ms\n";
         processes_[name] = {.name = name,
                             .program = options_.binaries + "/balsamdrift",
                             .arguments = {"--settings", path(name + ".yaml")}};
@@ -188,13 +187,13 @@
                               "--failure_domain=" + domain_of(n), "--listen=" + local(free_port()),
                               "--replication=" + replication[name], "--peers=" + peers,
                               "--announce_to=" + announce_to, n == 0 ? "--primary" : "--noprimary",
-                              "--ship_delay_ms=" + ms_text(options_.ship_delay),
-                              "--apply_lag_ms=" + ms_text(options_.apply_lag),
-                              "--service_ms=" + ms_text(options_.service_time),
+                              "--ship_delay_ms=" + milliseconds_text(options_.ship_delay),
+                              "--apply_lag_ms=" + milliseconds_text(options_.apply_lag),
+                              "--service_ms=" + milliseconds_text(options_.service_time),
                               "--slots=" + std::to_string(options_.slots),
                               "--connections=" + std::to_string(options_.connections),
-                              "--connect_ms=" + ms_text(options_.connect_time),
-                              "--rejoin_ms=" + ms_text(options_.rejoin_delay),
+                              "--connect_ms=" + milliseconds_text(options_.connect_time),
+                              "--rejoin_ms=" + milliseconds_text(options_.rejoin_delay),
                               "--run_log=" + path(name + ".runs")}};
             start_order_.push_back(name);
             ++n;
