Log what tells the causes of an outdated refusal apart

Callers were refused as an older configuration says.

New events: 2012 a data folder was set aside (nothing said so before), 2013 a submission ended, 2014 a result matches no submission, 2015 a connection to a peer was replaced, 7003 a version was committed, with its index. 6003 and 6006 say whether the lease was held and how old control's newest answer is; 4002 and 4005 say the latter too. No decision changes.

Not run here: site, chaos and command line tests.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -42,6 +42,15 @@
          "The log on disk ended in an incomplete record, which was truncated."},
         {event_id::storage_failed, "storage_failed", error,
          "A write to the data folder failed; the member stops participating."},
+        {event_id::data_folder_set_aside, "data_folder_set_aside", error,
+         "The data folder was damaged; its files were set aside and the member starts without "
+         "data."},
+        {event_id::submission_settled, "submission_settled", info,
+         "A change or read that this control member submitted to the leader has ended."},
+        {event_id::submission_result_unmatched, "submission_result_unmatched", info,
+         "The leader's result matches no submission that this control member still waits for."},
+        {event_id::fleet_connection_replaced, "fleet_connection_replaced", warning,
+         "The peer did not answer over a connection to it, so the connection was replaced."},
         {event_id::change_accepted, "change_accepted", info,
          "A change by an operator was committed."},
         {event_id::change_refused, "change_refused", warning,
@@ -115,6 +124,8 @@
          "A declared configuration is invalid; no part of it was applied."},
         {event_id::declared_configuration_accepted, "declared_configuration_accepted", info,
          "A declared configuration is durable and was acknowledged."},
+        {event_id::declared_configuration_committed, "declared_configuration_committed", info,
+         "The control member applied a new declared configuration from the log."},
     };
     return rows;
 }
--- a/base/event.h
+++ b/base/event.h
@@ -27,6 +27,10 @@
     snapshot_installed = 2009,
     log_tail_discarded = 2010,
     storage_failed = 2011,
+    data_folder_set_aside = 2012,
+    submission_settled = 2013,
+    submission_result_unmatched = 2014,
+    fleet_connection_replaced = 2015,
 
     change_accepted = 3001,
     change_refused = 3002,
@@ -69,6 +73,7 @@
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
+    declared_configuration_committed = 7003,
 };
 
 /// Severity of an event, as it appears in the log line.
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -105,6 +105,9 @@
         return failure_of(opened);
     }
     opened_storage& it = value_of(opened);
+    if (!it.damage.empty()) {
+        log_event(event_id::data_folder_set_aside, {{"reason", it.damage}});
+    }
     if (it.discarded_bytes > 0) {
         log_event(event_id::log_tail_discarded, {{"bytes", std::to_string(it.discarded_bytes)}});
     }
@@ -245,7 +248,14 @@
         if (it.kind == entry_kind::command) {
             const bool large = it.data.size() >= configuration_command_bytes;
             const auto previous = large ? registry_.declared : declared_configuration{};
+            const std::uint64_t previous_version = registry_.declared.version;
             result = apply_encoded(registry_, it.index, it.data);
+            if (registry_.declared.version != previous_version) {
+                log_event(event_id::declared_configuration_committed,
+                          {{"version", std::to_string(registry_.declared.version)},
+                           {"index", std::to_string(it.index)},
+                           {"term", std::to_string(it.term)}});
+            }
             if (large) {
                 forwarded_entry.data = command_for_entries(it.data, previous, registry_.declared);
             }
@@ -586,9 +596,13 @@
                    });
 }
 
-void control_service::handle(const relayed_command_result& it, const std::string&)
+void control_service::handle(const relayed_command_result& it, const std::string& sender)
 {
-    if (it.settled) {
+    if (!submissions_.contains(it.id)) {
+        log_event(event_id::submission_result_unmatched,
+                  {{"submission", std::to_string(it.id)}, {"leader", sender}});
+    }
+    else if (it.settled) {
         complete_submission(it.id, true, it.document);
     }
 }
@@ -681,9 +695,14 @@
     if (found == submissions_.end()) {
         return;
     }
-    const submit_handler on_done = std::move(found->second.on_done);
+    const submission done = std::move(found->second);
     submissions_.erase(found);
-    on_done(settled, document);
+    log_event(event_id::submission_settled, {{"submission", std::to_string(id)},
+                                             {"request", done.command.empty() ? "read" : "change"},
+                                             {"settled", settled ? "yes" : "no"},
+                                             {"sent", done.sent_at ? "yes" : "no"},
+                                             {"leader", leader_address()}});
+    done.on_done(settled, document);
 }
 
 void control_service::run_submission(const std::string& command, submit_handler on_done)
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -200,7 +200,7 @@
         if (auto res = move_damaged_files(folder); !succeeded(res)) {
             return failure_of(res);
         }
-        opened = opened_storage{};
+        opened = opened_storage{.damage = failure_of(opened).message};
     }
     opened_storage& it = value_of(opened);
     // The subfolder also marks damage that was found at an earlier opening.
--- a/control/log_storage.h
+++ b/control/log_storage.h
@@ -17,6 +17,8 @@
     /// False if the folder held damaged files, now or at an earlier opening. The member must then
     /// join an existing group and must never form a new one.
     bool may_form = true;
+    /// Why the files of the folder were set aside at this opening; empty if they were not.
+    std::string damage;
     /// Bytes of an incomplete record that were removed from the end of the log.
     std::uint64_t discarded_bytes = 0;
 };
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -194,7 +194,10 @@
     }
     const bool lease_held = view_.holds_lease(now);
     if (lease_was_held_ && !lease_held) {
-        log_event(event_id::lease_lost);
+        log_event(event_id::lease_lost,
+                  {{"index", std::to_string(registry_.index)},
+                   {"control_answered_ms_ago", milliseconds_text(now - answered_request_sent_at_)},
+                   {"upstream", upstream_}});
         count_metric("balsamdrift_lease_losses_total");
     }
     else if (!lease_was_held_ && lease_held) {
--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -94,7 +94,9 @@
     const isolation_step step =
         step_isolation({}, lease_->answered_request_sent_at(), view_.holds_lease(now), now);
     if (isolated_ == step.ready) {
-        log_event(step.ready ? event_id::entry_in_contact : event_id::entry_isolated);
+        log_event(step.ready ? event_id::entry_in_contact : event_id::entry_isolated,
+                  {{"control_answered_ms_ago",
+                    milliseconds_text(now - lease_->answered_request_sent_at())}});
     }
     isolated_ = !step.ready;
     if (step.end_sessions_opened_before) {
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -127,6 +127,8 @@
     if (now - *peer.unanswered_since < peer_answer_timeout) {
         return true;
     }
+    log_event(event_id::fleet_connection_replaced,
+              {{"peer", address}, {"waited_ms", milliseconds_text(now - *peer.unanswered_since)}});
     nng_close(peer.socket);
     peer.unanswered_since = now;
     return open_peer(address, peer.socket);
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -59,9 +59,13 @@
 {
     const declared_configuration& conf = registry_->declared;
     const auto refuse = [&](statement_error_code code, const std::string& text) {
-        log_event(
-            event_id::session_refused,
-            {{"database", database}, {"reason", text}, {"version", std::to_string(conf.version)}});
+        const time_point now = hooks_.now();
+        log_event(event_id::session_refused,
+                  {{"database", database},
+                   {"reason", text},
+                   {"version", std::to_string(conf.version)},
+                   {"lease", lease_text(now)},
+                   {"control_answered_ms_ago", control_silence_text(now)}});
         return statement_error{code, text};
     };
     if (conf.version == 0) {
@@ -122,6 +126,7 @@
 void session_service::log_refusal(const caller_session& session, const std::string& reason,
                                   duration retry_after)
 {
+    const time_point now = hooks_.now();
     count_metric("balsamdrift_refused_statements_total", "reason=\"" + reason + "\"");
     log_event(event_id::statement_refused,
               {{"id", session.pending->request.id},
@@ -129,8 +134,21 @@
                {"customer", customer_of_key(session)},
                {"reason", reason},
                {"retry_after_ms", milliseconds_text(retry_after)},
-               {"waited_ms", milliseconds_text(hooks_.now() - session.pending->arrived_at)},
-               {"version", std::to_string(registry_->declared.version)}});
+               {"waited_ms", milliseconds_text(now - session.pending->arrived_at)},
+               {"version", std::to_string(registry_->declared.version)},
+               {"lease", lease_text(now)},
+               {"control_answered_ms_ago", control_silence_text(now)}});
+}
+
+std::string session_service::lease_text(time_point now) const
+{
+    return hooks_.holds_lease(now) ? "held" : "expired";
+}
+
+std::string session_service::control_silence_text(time_point now) const
+{
+    const time_point answered_at = hooks_.answered_request_sent_at();
+    return answered_at == time_point{} ? "-" : milliseconds_text(now - answered_at);
 }
 
 std::string session_service::customer_of_key(const caller_session& session) const
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -240,6 +240,10 @@
     void update_settled_epoch(service_state& service, time_point now);
     /// Customer that holds the session's key in the configuration in force, or `-`.
     std::string customer_of_key(const caller_session& session) const;
+    /// For log lines: whether the lease is held, and for how many milliseconds control has not
+    /// answered ("-" if it never has).
+    std::string lease_text(time_point now) const;
+    std::string control_silence_text(time_point now) const;
     void log_refusal(const caller_session& session, const std::string& reason,
                      duration retry_after);
 
