--- a/fleet/tests/fleet_node_test.cpp
+++ b/fleet/tests/fleet_node_test.cpp
@@ -19,13 +19,14 @@
 /// open but never forward data again, while new connections work.
 class stalling_proxy {
 public:
-    explicit stalling_proxy(std::uint16_t target) : target_(target)
+    explicit stalling_proxy(std::uint16_t target = 0) : target_(target)
     {
         server_.listen(QHostAddress::LocalHost);
         QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] { accept(); });
     }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server_.serverPort()); }
+    void set_target(std::uint16_t target) { target_ = target; }
     void stall_open_connections() { ++generation_; }
     int accepted_count() const { return accepted_count_; }
 
@@ -89,3 +90,37 @@
     sender.stop();
     receiver.stop();
 }
+
+TEST_CASE("a connection that stops delivering is replaced although its peer keeps sending",
+          "[fleet]")
+{
+    // Guards against an entry that gets neither configuration nor lease for good, because what it
+    // sends hides from control that nothing arrives there.
+    std::atomic<int> received = 0;
+    stalling_proxy proxy;
+    fleet_node receiver({.listen = {"127.0.0.1", 0},
+                         .advertised = proxy.address(),
+                         .secret = "secret-of-the-test"});
+    auto listen_endpoint = receiver.start([&](const fleet_message&) { ++received; });
+    REQUIRE(succeeded(listen_endpoint));
+    proxy.set_target(value_of(listen_endpoint).port);
+    fleet_node sender({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(sender.start([](const fleet_message&) {})));
+    const auto exchange_for = [&](duration span) {
+        const time_point end = monotonic_clock::now() + span;
+        while (monotonic_clock::now() < end) {
+            sender.send(proxy.address(), fleet_channel::lease, "hello");
+            receiver.send(sender.address(), fleet_channel::lease, "still here");
+            process_events_for(milliseconds(50));
+        }
+    };
+    exchange_for(milliseconds(300));
+    REQUIRE(received > 0);
+    proxy.stall_open_connections();
+    const int received_before = received;
+    exchange_for(milliseconds(2500));
+    CHECK(received > received_before);
+    CHECK(proxy.accepted_count() == 2);
+    sender.stop();
+    receiver.stop();
+}
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -781,3 +781,35 @@
     REQUIRE(report.primaries.size() == 1);
     CHECK(report.primaries[0].failing);
 }
+
+TEST_CASE("an entry without a lease does not refuse as unknown what a newer configuration may hold",
+          "[sessions]")
+{
+    vm_fixture vm;
+    const auto refusal_of = [&](const std::string& database, const std::string& key) {
+        const auto opened = vm.sessions.open_session(database, key, [] {});
+        REQUIRE(std::holds_alternative<statement_error>(opened));
+        return std::get<statement_error>(opened);
+    };
+    CHECK(refusal_of("added", "key").code == statement_error_code::unknown_database);
+    CHECK(refusal_of("strict", "added").code == statement_error_code::not_authorized);
+    const auto without_route = vm.open_session("own");
+    const auto without_key = vm.open_session("strict", "other");
+    vm.state.declared.routes.erase("own");
+    vm.state.declared.customer_of_key.erase("other");
+    vm.sessions.on_configuration();
+    const auto error_of = [&](std::uint64_t session) {
+        const statement_answer answer = vm.run(session, read_of("x"));
+        REQUIRE(std::holds_alternative<statement_error>(answer.result));
+        return std::get<statement_error>(answer.result);
+    };
+    CHECK(error_of(without_route).code == statement_error_code::unknown_database);
+    CHECK(error_of(without_key).code == statement_error_code::not_authorized);
+    vm.lease = false;
+    // Nothing ran, and the caller is told when to come back.
+    for (const statement_error& it : {refusal_of("added", "key"), refusal_of("strict", "added"),
+                                      error_of(without_route), error_of(without_key)}) {
+        CHECK(it.code == statement_error_code::busy);
+        CHECK(it.text.find("retry-after-ms=") == 0);
+    }
+}
