Replace connections whose peer confirms nothing, however much it sends

What callers saw: when open connections between our processes go silent without a reset, entries refused a fifth to a half of all statements for tens of seconds, and databases and keys of newer configurations as unknown.

Cause: each process sends over a connection of its own, so the two directions between two processes fail apart. A connection was replaced once the peer had sent nothing for 1 s. An entry that got no grants went on asking, and what it sent kept control from replacing the connection on which its grants were lost.

Change: each frame names the newest frame that its sender has received from the receiver. One message is watched at a time; the connection is replaced if the peer has not confirmed it within 1 s and the time that the bytes need on a slow link, so that a large update is not given up halfway. Frames of earlier builds, which confirm nothing, count as before.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -50,7 +50,7 @@
         {event_id::submission_result_unmatched, "submission_result_unmatched", info,
          "The leader's result matches no submission that this control member still waits for."},
         {event_id::fleet_connection_replaced, "fleet_connection_replaced", warning,
-         "The peer did not answer over a connection to it, so the connection was replaced."},
+         "The peer did not confirm what was sent over a connection, which was replaced."},
         {event_id::change_accepted, "change_accepted", info,
          "A change by an operator was committed."},
         {event_id::change_refused, "change_refused", warning,
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 
 namespace balsamdrift {
@@ -31,7 +32,10 @@
     /// Hybrid logical clock of the sender; see timeline_event::stamp.
     std::uint64_t stamp = 0;
     std::string body;
-    MSGPACK_DEFINE(channel, sender, stamp, body)
+    /// Stamp of the newest frame that the sender has received from the receiver; zero if it has
+    /// received none, not set by versions that do not confirm frames.
+    std::optional<std::uint64_t> received_stamp;
+    MSGPACK_DEFINE(channel, sender, stamp, body, received_stamp)
 };
 
 }  // namespace balsamdrift
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -14,6 +14,7 @@
 #include "base/sharded.h"
 #include "base/signature.h"
 #include "base/time.h"
+#include "fleet/delivery_watch.h"
 
 namespace balsamdrift {
 namespace {
@@ -32,21 +33,17 @@
                             secret);
 }
 
-/// A connection is replaced if its peer sends nothing for this long after it was sent a message: a
-/// network fault can leave a connection open that never delivers again. Every protocol of the fleet
-/// answers within a few hundred milliseconds.
-constexpr milliseconds peer_answer_timeout(1000);
-
 /// Outgoing connection to a peer.
 struct peer_socket {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
-    /// When the oldest message was sent since which nothing was received from the peer, if any.
-    std::optional<time_point> unanswered_since;
+    delivery_watch watch;
 };
 
-/// One shard of the outgoing connections, by `address:port` of the peer.
-struct peer_sockets {
-    std::map<std::string, peer_socket> by_address;
+/// One shard of what is known of the peers, by their `address:port`.
+struct peer_shard {
+    std::map<std::string, peer_socket> sockets;
+    /// Stamp of the newest frame that was received from each peer.
+    std::map<std::string, std::uint64_t> received_stamps;
 };
 
 std::string url_of(const std::string& address) { return "tcp://" + address; }
@@ -56,14 +53,14 @@
 struct fleet_node::implementation {
     fleet_options options;
     nng_socket listener = NNG_SOCKET_INITIALIZER;
-    sharded<peer_sockets> peers;
+    sharded<peer_shard> peers;
     std::thread receive_thread;
     std::atomic<bool> stopping = false;
     receiver on_message;
 
     void receive_loop();
     void deliver(std::string_view bytes);
-    bool reconnect_if_unanswered(const std::string& address, peer_socket& peer);
+    bool reconnect_if_overdue(const std::string& address, peer_socket& peer, time_point now);
     bool open_peer(const std::string& address, nng_socket& socket) const;
 };
 
@@ -78,10 +75,11 @@
     }
     fleet_frame& it = value_of(frame);
     observe_timeline_stamp(it.stamp);
-    peers.with(it.sender, [&](peer_sockets& shard) {
-        const auto peer = shard.by_address.find(it.sender);
-        if (peer != shard.by_address.end()) {
-            peer->second.unanswered_since.reset();
+    peers.with(it.sender, [&](peer_shard& shard) {
+        shard.received_stamps[it.sender] = it.stamp;
+        const auto peer = shard.sockets.find(it.sender);
+        if (peer != shard.sockets.end()) {
+            record_confirmation(peer->second.watch, it.received_stamp);
         }
     });
     on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
@@ -114,23 +112,19 @@
     return true;
 }
 
-/// Replaces the connection if the peer has sent nothing for peer_answer_timeout. Returns false if
-/// no new connection can be opened.
-bool fleet_node::implementation::reconnect_if_unanswered(const std::string& address,
-                                                         peer_socket& peer)
+/// Replaces the connection if the peer does not confirm what was sent over it. Returns false if no
+/// new connection can be opened.
+bool fleet_node::implementation::reconnect_if_overdue(const std::string& address, peer_socket& peer,
+                                                      time_point now)
 {
-    const time_point now = monotonic_clock::now();
-    if (!peer.unanswered_since) {
-        peer.unanswered_since = now;
+    if (!is_overdue(peer.watch, now)) {
         return true;
     }
-    if (now - *peer.unanswered_since < peer_answer_timeout) {
-        return true;
-    }
-    log_event(event_id::fleet_connection_replaced,
-              {{"peer", address}, {"waited_ms", milliseconds_text(now - *peer.unanswered_since)}});
+    log_event(
+        event_id::fleet_connection_replaced,
+        {{"peer", address}, {"waited_ms", milliseconds_text(now - peer.watch.watched->sent_at)}});
     nng_close(peer.socket);
-    peer.unanswered_since = now;
+    peer.watch = {};
     return open_peer(address, peer.socket);
 }
 
@@ -176,37 +170,44 @@
     impl_->stopping = true;
     impl_->receive_thread.join();
     nng_close(impl_->listener);
-    impl_->peers.for_each([](peer_sockets& it) {
-        for (const auto& [address, peer] : it.by_address) {
+    impl_->peers.for_each([](peer_shard& it) {
+        for (const auto& [address, peer] : it.sockets) {
             nng_close(peer.socket);
         }
-        it.by_address.clear();
+        it.sockets.clear();
     });
 }
 
 void fleet_node::send(const std::string& address, fleet_channel channel, std::string body)
 {
-    const std::string frame = encode(fleet_frame{.channel = static_cast<std::uint8_t>(channel),
-                                                 .sender = impl_->options.advertised,
-                                                 .stamp = next_timeline_stamp(),
-                                                 .body = std::move(body)});
-    std::string bytes = sign(frame, impl_->options.secret) + frame;
-    impl_->peers.with(address, [&](peer_sockets& it) {
-        auto found = it.by_address.find(address);
-        if (found == it.by_address.end()) {
+    const time_point now = monotonic_clock::now();
+    impl_->peers.with(address, [&](peer_shard& it) {
+        auto found = it.sockets.find(address);
+        if (found == it.sockets.end()) {
             peer_socket peer;
             if (!impl_->open_peer(address, peer.socket)) {
                 return;
             }
-            found = it.by_address.emplace(address, peer).first;
+            found = it.sockets.emplace(address, peer).first;
         }
-        if (!impl_->reconnect_if_unanswered(address, found->second)) {
-            it.by_address.erase(found);
+        peer_socket& peer = found->second;
+        if (!impl_->reconnect_if_overdue(address, peer, now)) {
+            it.sockets.erase(found);
             return;
         }
+        const auto received = it.received_stamps.find(address);
+        const fleet_frame frame{.channel = static_cast<std::uint8_t>(channel),
+                                .sender = impl_->options.advertised,
+                                .stamp = next_timeline_stamp(),
+                                .body = std::move(body),
+                                .received_stamp =
+                                    received == it.received_stamps.end() ? 0 : received->second};
+        const std::string encoded = encode(frame);
+        std::string bytes = sign(encoded, impl_->options.secret) + encoded;
+        record_sent(peer.watch, {}, frame.stamp, bytes.size(), now);
         // The message is dropped if the queue is full; every protocol repeats its messages if it
         // needs them delivered.
-        (void)nng_send(found->second.socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
+        (void)nng_send(peer.socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
     });
 }
 
