Refuse a database or key as unknown only while the lease is held

Cause: a lease bounds how old an entry's configuration can be, but the refusals for an unknown database or key were decided without it. Any cause of a lost lease, whatever it was, showed as this violation for as long as it lasted.

Change: without a lease the caller is answered BUSY with the time to come back; nothing has run. The wait is counted from the lease's end. Before the first lease it was counted from the start of the clock, so a caller could be told to come back after hours.

--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -27,7 +27,8 @@
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       registry_(std::make_shared<const registry>()),
-      demand_measured_at_(hooks_.now())
+      demand_measured_at_(hooks_.now()),
+      lease_last_held_at_(hooks_.now())
 {
 }
 
@@ -58,26 +59,28 @@
                               std::function<void()> disconnect_caller)
 {
     const declared_configuration& conf = registry_->declared;
-    const auto refuse = [&](statement_error_code code, const std::string& text) {
-        const time_point now = hooks_.now();
+    const time_point now = hooks_.now();
+    const auto refuse = [&](const statement_error& error) {
         log_event(event_id::session_refused,
                   {{"database", database},
-                   {"reason", text},
+                   {"reason", error.text},
                    {"version", std::to_string(conf.version)},
                    {"lease", lease_text(now)},
                    {"control_answered_ms_ago", control_silence_text(now)}});
-        return statement_error{code, text};
+        return error;
     };
     if (conf.version == 0) {
-        return refuse(statement_error_code::busy,
-                      retry_after_text(configuration_retry_after, "no configuration yet"));
+        return refuse({statement_error_code::busy,
+                       retry_after_text(configuration_retry_after, "no configuration yet")});
     }
     const auto route = conf.routes.find(database);
     if (route == conf.routes.end()) {
-        return refuse(statement_error_code::unknown_database, "no such database");
+        return refuse(
+            checked_by_lease({statement_error_code::unknown_database, "no such database"}, now));
     }
     if (!route->second.open_to_all && !conf.customer_of_key.contains(key)) {
-        return refuse(statement_error_code::not_authorized, "the key is not known");
+        return refuse(
+            checked_by_lease({statement_error_code::not_authorized, "the key is not known"}, now));
     }
     const std::uint64_t number = next_session_++;
     sessions_[number] = std::make_unique<caller_session>(
@@ -85,11 +88,38 @@
                        .database = database,
                        .key = key,
                        .disconnect_caller = std::move(disconnect_caller),
-                       .opened_at = hooks_.now(),
-                       .last_active_at = hooks_.now()});
+                       .opened_at = now,
+                       .last_active_at = now});
     return number;
 }
 
+statement_error session_service::checked_by_lease(const statement_error& error,
+                                                  time_point now) const
+{
+    return hooks_.holds_lease(now)
+               ? error
+               : statement_error{statement_error_code::busy,
+                                 retry_after_text(expected_lease_wait(now),
+                                                  "the configuration may be outdated")};
+}
+
+void session_service::refuse_as_unknown(caller_session& session, const std::string& reason,
+                                        const statement_error& error)
+{
+    const time_point now = hooks_.now();
+    const duration retry_after = hooks_.holds_lease(now) ? duration{0} : expected_lease_wait(now);
+    log_refusal(session, reason, retry_after);
+    const statement_error told = checked_by_lease(error, now);
+    answer_error(session, told.code, told.text);
+}
+
+duration session_service::expected_lease_wait(time_point now) const
+{
+    const duration without_lease =
+        hooks_.holds_lease(now) ? duration{0} : now - lease_last_held_at_;
+    return std::max(without_lease, options_.lease_renewal_time);
+}
+
 void session_service::answer(caller_session& session, const statement_answer& it)
 {
     const std::unique_ptr<pending_statement> done = std::move(session.pending);
@@ -223,14 +253,14 @@
     const declared_configuration& conf = registry_->declared;
     const auto found = conf.routes.find(session.database);
     if (found == conf.routes.end()) {
-        log_refusal(session, "unknown_database", {});
-        answer_error(session, statement_error_code::unknown_database, "no such database");
+        refuse_as_unknown(session, "unknown_database",
+                          {statement_error_code::unknown_database, "no such database"});
         return;
     }
     const auto holder = conf.customer_of_key.find(session.key);
     if (holder == conf.customer_of_key.end() && !found->second.open_to_all) {
-        log_refusal(session, "not_authorized", {});
-        answer_error(session, statement_error_code::not_authorized, "the key is not known");
+        refuse_as_unknown(session, "not_authorized",
+                          {statement_error_code::not_authorized, "the key is not known"});
         return;
     }
     const statement& request = session.pending->request;
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -240,6 +240,14 @@
     void update_settled_epoch(service_state& service, time_point now);
     /// Customer that holds the session's key in the configuration in force, or `-`.
     std::string customer_of_key(const caller_session& session) const;
+    /// What a caller is told whose database or key the configuration in force lacks: this error
+    /// under a lease, to come back otherwise, since a newer configuration may hold it.
+    statement_error checked_by_lease(const statement_error& error, time_point now) const;
+    void refuse_as_unknown(caller_session& session, const std::string& reason,
+                           const statement_error& error);
+    /// When a lease can be expected: an expired one is renewed only after as much time as has
+    /// passed already.
+    duration expected_lease_wait(time_point now) const;
     /// For log lines: whether the lease is held, and for how many milliseconds control has not
     /// answered ("-" if it never has).
     std::string lease_text(time_point now) const;
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -177,10 +177,7 @@
             options_.primary_change_time - (now - primary->second.unreachable_since);
         return std::max(time_left, min_wait);
     }
-    // An expired lease is expected to be renewed only after as much time as has passed already.
-    const duration without_lease =
-        hooks_.holds_lease(now) ? duration{0} : now - lease_last_held_at_;
-    return std::max(without_lease, min_wait);
+    return expected_lease_wait(now);
 }
 
 void session_service::enqueue(caller_session& session, service_state& service)
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -810,6 +810,7 @@
     for (const statement_error& it : {refusal_of("added", "key"), refusal_of("strict", "added"),
                                       error_of(without_route), error_of(without_key)}) {
         CHECK(it.code == statement_error_code::busy);
-        CHECK(it.text.find("retry-after-ms=") == 0);
+        // Counted from the lease's end, not from the start of the clock.
+        CHECK(it.text.find("retry-after-ms=300 ") == 0);
     }
 }
