Match the leader's results to submissions of this process only

What callers see: a change is acknowledged and never comes into force, or a read of the configuration returns an older one.

Cause: a control member forwards a change to the leader under a number that counted from one in every process. When the member ends before the result arrives, the result waits in the leader's queue and reaches the next process on that address, where the same number may stand for another change. That one was acknowledged and dropped, at times before it was forwarded at all.

Change: the numbers of a process start at random, as those of forwarded statements already do.

Looked for elsewhere: proposals match by index and term, grants and tokens of statement entries by the process's incarnation, forwarded statements by random numbers, hellos by a nonce. Token requests of entries that own items count from one; a late grant there can only lose tokens.

--- a/control/control_service.h
+++ b/control/control_service.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 
+#include "base/random.h"
 #include "control/control_options.h"
 #include "control/lease_table.h"
 #include "control/log_storage.h"
@@ -218,7 +219,9 @@
     bool coordinates_services_ = false;
     /// By id.
     std::map<std::uint64_t, submission> submissions_;
-    std::uint64_t next_submission_ = 1;
+    /// Starts at random, so that the leader's late result for an earlier process of this member
+    /// matches none of this process.
+    std::uint64_t next_submission_ = random_identity();
     /// Version of the instance directory that was last pushed to all entries.
     std::uint64_t pushed_directory_version_ = 0;
     time_point next_directory_push_at_{};
--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -3,8 +3,12 @@
 #include <unistd.h>
 
 #include <QCoreApplication>
+#include <QTemporaryDir>
+#include <array>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <filesystem>
+#include <thread>
 
 using namespace balsamdrift;
 
@@ -53,6 +57,100 @@
     }
 }
 
+/// One process of a control member: its data folder outlives it, and its successor listens on the
+/// same address.
+class member_process {
+public:
+    /// Port zero: any free one.
+    explicit member_process(std::uint16_t port)
+        : fleet_({.listen = {"127.0.0.1", port}, .secret = "secret-of-the-test"})
+    {
+        auto listening = fleet_.start([this](fleet_message it) {
+            if (control_service* const to = receiver_.load()) {
+                to->receive(std::move(it));
+            }
+        });
+        REQUIRE(succeeded(listening));
+        port_ = value_of(listening).port;
+    }
+    ~member_process()
+    {
+        fleet_.stop();
+        receiver_ = nullptr;
+    }
+
+    void start(const std::string& name, const std::string& folder,
+               const std::vector<voter>& members)
+    {
+        control_ = std::make_unique<control_service>(
+            control_options{.name = name, .data_folder = folder, .members = members}, fleet_);
+        REQUIRE(succeeded(control_->start()));
+        receiver_ = control_.get();
+    }
+
+    std::uint16_t port() const { return port_; }
+    std::string address() const { return fleet_.address(); }
+    control_service& control() { return *control_; }
+
+private:
+    fleet_node fleet_;
+    std::uint16_t port_ = 0;
+    std::atomic<control_service*> receiver_ = nullptr;
+    std::unique_ptr<control_service> control_;
+};
+
+/// A control group of three members in one process of the test.
+struct group_fixture {
+    QTemporaryDir folder;
+    std::vector<voter> members;
+    std::array<std::unique_ptr<member_process>, 3> processes;
+
+    group_fixture()
+    {
+        for (std::size_t n = 0; n < processes.size(); ++n) {
+            processes[n] = std::make_unique<member_process>(0);
+            members.push_back({{name_of(n), 0}, processes[n]->address()});
+        }
+        for (std::size_t n = 0; n < processes.size(); ++n) {
+            start(n);
+        }
+    }
+
+    static std::string name_of(std::size_t n) { return "c" + std::to_string(n); }
+    void start(std::size_t n)
+    {
+        processes[n]->start(name_of(n), folder.path().toStdString() + "/" + name_of(n), members);
+    }
+    /// Ends the process of a member and starts another on its address and data folder, after the
+    /// others have run on for this time.
+    void restart(std::size_t n, duration down)
+    {
+        const std::uint16_t port = processes[n]->port();
+        processes[n].reset();
+        run_events(down);
+        processes[n] = std::make_unique<member_process>(port);
+        start(n);
+    }
+    /// Waits for a leader and returns its number.
+    std::size_t wait_for_leader()
+    {
+        for (int tries = 0; tries < 100; ++tries) {
+            run_events(milliseconds(50));
+            for (std::size_t n = 0; n < processes.size(); ++n) {
+                if (processes[n]->control().status().leads) {
+                    return n;
+                }
+            }
+        }
+        FAIL("no leader was elected");
+        return 0;
+    }
+    std::uint64_t version_at(std::size_t n)
+    {
+        return processes[n]->control().status().state->declared.version;
+    }
+};
+
 }  // namespace
 
 TEST_CASE("reads that wait for a leader are all answered once there is one", "[control]")
@@ -83,3 +181,33 @@
     run_events(milliseconds(100));
     CHECK(document == "{}");
 }
+
+TEST_CASE("a change is not acknowledged by the late result of an earlier process's change",
+          "[control]")
+{
+    group_fixture group;
+    const std::size_t leader = group.wait_for_leader();
+    const std::size_t restarted = (leader + 1) % group.processes.size();
+    const auto submit = [&](std::uint64_t version, control_service::submit_handler on_done) {
+        const declared_configuration configuration{.version = version, .document = "{}"};
+        group.processes[restarted]->control().submit(replace_declared{configuration},
+                                                     std::move(on_done));
+    };
+    submit(5, [](bool, const std::string&) {});
+    // Forwards the change. The time is for the message to reach the leader, which handles it only
+    // once the process that forwarded it has ended.
+    QCoreApplication::processEvents();
+    std::this_thread::sleep_for(milliseconds(50));
+    group.restart(restarted, milliseconds(300));
+    REQUIRE(group.version_at(leader) == 5);
+    bool settled = false;
+    std::uint64_t version_when_settled = 0;
+    submit(6, [&](bool done, const std::string&) {
+        settled = done;
+        version_when_settled = group.version_at(leader);
+    });
+    run_events(milliseconds(1500));
+    CHECK(settled);
+    CHECK(version_when_settled == 6);
+    CHECK(group.version_at(leader) == 6);
+}
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -73,6 +73,7 @@
 
 /// A control member forwards an operator's or an instance's command to the leader.
 struct relayed_command {
+    /// Matches the result to the command. No two processes of a member use the same.
     std::uint64_t id = 0;
     /// Encoded registry_command; if empty, the declared configuration is requested.
     std::string command;
