End keyed operations two seconds after the lease

What callers could see: a withdrawn key still read at an entry that control did not reach, for as long as a replica was fresh enough for the route. The target is 5 s, also on a VM that is cut off.

Change: operations on routes that need a key are refused as BUSY once the lease has been lost for 2 s; with leases of 3 s that keeps to 5 s. Routes open to all go on, since they depend on no key.

The test 'a key that may have been withdrawn is refused soon after the lease has expired' failed before.

--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -113,6 +113,11 @@
     answer_error(session, told.code, told.text);
 }
 
+bool session_service::may_lack_withdrawals(time_point now) const
+{
+    return !hooks_.holds_lease(now) && now - lease_last_held_at_ >= options_.key_grace;
+}
+
 duration session_service::expected_lease_wait(time_point now) const
 {
     const duration without_lease =
@@ -263,6 +268,14 @@
                           {statement_error_code::not_authorized, "the key is not known"});
         return;
     }
+    const time_point now = hooks_.now();
+    if (!found->second.open_to_all && may_lack_withdrawals(now)) {
+        const duration retry_after = expected_lease_wait(now);
+        log_refusal(session, "configuration_outdated", retry_after);
+        answer_error(session, statement_error_code::busy,
+                     retry_after_text(retry_after, "the key may have been withdrawn"));
+        return;
+    }
     const statement& request = session.pending->request;
     const bool begins =
         request.kind == statement_kind::begin || request.kind == statement_kind::begin_read_only;
@@ -276,7 +289,6 @@
         start_operation(session);
         return;
     }
-    const time_point now = hooks_.now();
     const auto res = take_token(tokens_, options_.rates,
                                 {.number = session.number,
                                  .customer = customer,
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -35,6 +35,9 @@
     duration primary_change_time = milliseconds(1700);
     /// Time in which an expired lease is usually renewed, used to predict waits.
     duration lease_renewal_time = milliseconds(300);
+    /// Keys are accepted for this long after the lease's end. A key that is withdrawn while control
+    /// cannot reach this VM is refused within 5 s of that, and the lease takes up to 3 s of them.
+    duration key_grace = seconds(2);
     connection_budget_options connections;
     /// A leaving primary is used until its successor serves, but at most for this long.
     duration leaving_grace = seconds(4);
@@ -245,6 +248,8 @@
     statement_error checked_by_lease(const statement_error& error, time_point now) const;
     void refuse_as_unknown(caller_session& session, const std::string& reason,
                            const statement_error& error);
+    /// True if the lease expired so long ago that any key may have been withdrawn since.
+    bool may_lack_withdrawals(time_point now) const;
     /// When a lease can be expected: an expired one is renewed only after as much time as has
     /// passed already.
     duration expected_lease_wait(time_point now) const;
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -814,3 +814,29 @@
         CHECK(it.text.find("retry-after-ms=300 ") == 0);
     }
 }
+
+TEST_CASE("a key that may have been withdrawn is refused soon after the lease has expired",
+          "[sessions]")
+{
+    // Guards against reads under a withdrawn key for as long as replicas are fresh enough.
+    vm_fixture vm;
+    vm.state.declared.routes["bounded"].max_staleness = seconds(30);
+    vm.state.declared.routes["open"] = vm.state.declared.routes["bounded"];
+    vm.state.declared.routes["open"].open_to_all = true;
+    // A customer without a limit, which tokens do not hold back.
+    vm.state.declared.customer_of_key["free"] = "unlimited";
+    vm.sessions.on_configuration();
+    const auto keyed = vm.open_session("bounded", "free");
+    const auto open = vm.open_session("open", "free");
+    REQUIRE(is_success(vm.run(vm.open_session("strict", "free"), read_of("x"))));
+    vm.advance_time(milliseconds(100));
+    vm.lease = false;
+    vm.advance_time(milliseconds(1900));
+    CHECK(is_success(vm.run(keyed, read_of("x"))));
+    vm.advance_time(milliseconds(150));
+    CHECK(error_code_of(vm.run(keyed, read_of("x"))) == statement_error_code::busy);
+    CHECK(is_success(vm.run(open, read_of("x"))));
+    vm.lease = true;
+    vm.advance_time(milliseconds(20));
+    CHECK(is_success(vm.run(keyed, read_of("x"))));
+}
