--- a/fleet/tests/delivery_watch_test.cpp
+++ b/fleet/tests/delivery_watch_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/codec.h"
+#include "fleet/fleet_message.h"
+
 using namespace balsamdrift;
 
 namespace {
@@ -9,6 +12,15 @@
 const time_point start{std::chrono::hours(1)};
 constexpr std::uint64_t small_message = 200;
 
+/// A frame as builds encode it that do not confirm frames.
+struct unconfirmed_frame {
+    std::uint8_t channel = 0;
+    std::string sender;
+    std::uint64_t stamp = 0;
+    std::string body;
+    MSGPACK_DEFINE(channel, sender, stamp, body)
+};
+
 }  // namespace
 
 TEST_CASE("a peer that keeps sending but confirms nothing is overdue", "[fleet]")
@@ -59,3 +71,16 @@
     record_confirmation(watch, std::nullopt);
     CHECK_FALSE(is_overdue(watch, start + seconds(60)));
 }
+
+TEST_CASE("builds with and without confirmations read each other's frames", "[fleet]")
+{
+    auto ours = decode<fleet_frame>(encode(unconfirmed_frame{1, "10.0.0.1:7000", 9, "text"}));
+    REQUIRE(succeeded(ours));
+    CHECK(value_of(ours).body == "text");
+    CHECK_FALSE(value_of(ours).received_stamp);
+    auto theirs = decode<unconfirmed_frame>(encode(
+        fleet_frame{.sender = "10.0.0.1:7000", .stamp = 9, .body = "text", .received_stamp = 7}));
+    REQUIRE(succeeded(theirs));
+    CHECK(value_of(theirs).stamp == 9);
+    CHECK(value_of(theirs).body == "text");
+}
