Add the state of evacuated failure domains, allowed regions and warm-up rates

The coming parts share these types: which failure domains an operator has evacuated (registry), in which regions a route or a customer may be served, and how many statements a second a warming instance takes. New members stand at the end of their messages, so that older builds still read them. Nothing uses them yet.

The build compiles through ccache where it is installed, with paths relative to the clone; another clone of the same sources then compiles nothing again.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,17 @@
 PACKAGES := g++ cmake ninja-build make git clang-format clang-tidy qt6-base-dev libnng-dev \
             libboost-dev libyaml-cpp-dev libgflags-dev libeasyloggingpp-dev catch2 libpq-dev \
             libsqlite3-dev librapidcheck-dev libssl-dev libmsgpack-cxx-dev nlohmann-json3-dev \
-            libxxhash-dev
+            libxxhash-dev ccache
 SOURCE_FOLDERS := apps base benchmarks callers control core databases entry fleet operators \
                   platform pooling rig tests
 SOURCES = $(shell git ls-files --cached --others --exclude-standard $(SOURCE_FOLDERS) \
             | grep -E '\.(h|cpp)$$')
 UNITS = $(filter %.cpp,$(SOURCES))
 
+# Objects are reused between clones: paths in them are relative to the root of the clone.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
 .PHONY: demo test deps build format format-check lint unit-test experiments benchmark capacity
 
 demo: deps build
@@ -24,7 +28,7 @@
 	  || (apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES))
 
 build:
-	cmake -S . -B build -G Ninja > /dev/null
+	cmake -S . -B build -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache > /dev/null
 	ninja -C build
 
 format:
--- a/core/registry/declared_configuration.h
+++ b/core/registry/declared_configuration.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
+#include <set>
 #include <string>
 
 #include "base/codec.h"
@@ -34,10 +35,12 @@
     int priority = 0;
     /// True when callers need no key.
     bool open_to_all = false;
+    /// Regions whose instances may run the route's statements; empty for all regions.
+    std::set<std::string> allowed_regions;
 
     bool operator==(const declared_route&) const = default;
     MSGPACK_DEFINE(service, consistency, statement_timeout, latency_objective, max_staleness,
-                   priority, open_to_all)
+                   priority, open_to_all, allowed_regions)
 };
 
 /// A service: one primary and its replicas.
@@ -46,9 +49,11 @@
     int connections = 0;
     /// Replicas that must have received a commit before it is acknowledged.
     int synchronous_replicas = 0;
+    /// Statements per second that an instance takes while it warms up; zero for no limit.
+    double warmup_rate = 0;
 
     bool operator==(const declared_service&) const = default;
-    MSGPACK_DEFINE(connections, synchronous_replicas)
+    MSGPACK_DEFINE(connections, synchronous_replicas, warmup_rate)
 };
 
 /// Limits of a customer over all VMs together.
@@ -58,9 +63,11 @@
     /// Operations that may arrive at once after a pause.
     double burst = 0;
     int priority = 0;
+    /// Regions whose instances may run the customer's statements; empty for all regions.
+    std::set<std::string> allowed_regions;
 
     bool operator==(const declared_customer&) const = default;
-    MSGPACK_DEFINE(rate, burst, priority)
+    MSGPACK_DEFINE(rate, burst, priority, allowed_regions)
 };
 
 /// The configuration that operators of the platform replace as a whole. The highest version is in
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -181,6 +181,30 @@
     return accepted(++record.version);
 }
 
+change_result apply_evacuation(registry& state, const std::string& domain, bool evacuated)
+{
+    if (domain.empty()) {
+        return invalid("a failure domain needs a name");
+    }
+    if (evacuated) {
+        state.evacuated_domains.insert(domain);
+    }
+    else {
+        state.evacuated_domains.erase(domain);
+    }
+    return accepted(0);
+}
+
+change_result apply_body(registry& state, const operator_change&, const evacuate_domain& it)
+{
+    return apply_evacuation(state, it.domain, true);
+}
+
+change_result apply_body(registry& state, const operator_change&, const restore_domain& it)
+{
+    return apply_evacuation(state, it.domain, false);
+}
+
 /// Stores an answer for resends and drops the oldest one beyond the limit.
 void store_result(registry& state, const std::string& key, const change_result& result)
 {
@@ -343,6 +367,16 @@
     return accepted(0);
 }
 
+change_result apply_command(registry& state, const evacuate_domain& it)
+{
+    return apply_evacuation(state, it.domain, true);
+}
+
+change_result apply_command(registry& state, const restore_domain& it)
+{
+    return apply_evacuation(state, it.domain, false);
+}
+
 change_result apply_command(registry& state, const change_primary& it)
 {
     primary_record& record = state.primaries[it.service];
@@ -367,6 +401,11 @@
     return found != state.leaving.end() && found->second >= born_ms;
 }
 
+bool is_evacuated(const registry& state, const std::string& failure_domain)
+{
+    return state.evacuated_domains.contains(failure_domain);
+}
+
 change_result apply(registry& state, std::uint64_t index, const registry_command& command)
 {
     state.index = index;
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 #include "core/registry/records.h"
@@ -46,10 +47,13 @@
     std::map<std::string, std::int64_t> leaving;
     /// Keys of `leaving`, oldest first.
     std::deque<std::string> leaving_order;
+    /// Failure domains whose instances get no statements, by order of an operator.
+    std::set<std::string> evacuated_domains;
 
     bool operator==(const registry&) const = default;
     MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
-                   results, result_order, declared, primaries, leaving, leaving_order)
+                   results, result_order, declared, primaries, leaving, leaving_order,
+                   evacuated_domains)
 };
 
 /// Applies the command at a log index. Deterministic, so that equal registries stay equal.
@@ -70,6 +74,9 @@
 /// `born_ms` is the start of the incarnation in Unix milliseconds.
 bool is_leaving(const registry& state, const std::string& instance, std::int64_t born_ms);
 
+/// True while an operator's order keeps statements away from the instances of a failure domain.
+bool is_evacuated(const registry& state, const std::string& failure_domain);
+
 /// Hash of the whole registry, to compare copies on different VMs.
 std::uint64_t state_hash(const registry& state);
 
--- a/core/registry/registry_command.h
+++ b/core/registry/registry_command.h
@@ -73,9 +73,22 @@
     MSGPACK_DEFINE(target)
 };
 
+/// Orders that nothing more is sent to the instances of a failure domain. Idempotent.
+struct evacuate_domain {
+    std::string domain;
+    MSGPACK_DEFINE(domain)
+};
+
+/// Withdraws the order of evacuate_domain. Idempotent.
+struct restore_domain {
+    std::string domain;
+    MSGPACK_DEFINE(domain)
+};
+
 /// The changes that an operator can make.
-using change_body = std::variant<put_customer, remove_customer, give_key, withdraw_key, put_group,
-                                 grant_group, revoke_group, switch_preset>;
+using change_body =
+    std::variant<put_customer, remove_customer, give_key, withdraw_key, put_group, grant_group,
+                 revoke_group, switch_preset, evacuate_domain, restore_domain>;
 
 /// A change by an operator, with the id and the version that make it safe to resend it and to race
 /// with other operators.
@@ -185,7 +198,8 @@
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
                  release_item, record_primary, activate_preset, set_session_secret,
-                 replace_declared, mark_leaving, change_primary, patch_declared>;
+                 replace_declared, mark_leaving, change_primary, patch_declared, evacuate_domain,
+                 restore_domain>;
 
 /// Outcome of a command.
 enum class change_status : std::uint8_t {
