Count fleet messages by type and bytes to instances by distance

The bytes between regions could not be attributed to a message type. fleet_node counts each message in balsamdrift_fleet_bytes_total and balsamdrift_fleet_messages_total, and a line connection its bytes in balsamdrift_instance_bytes_total. The counters are looked up once, so that a message costs two atomic additions.

--- a/base/metrics.cpp
+++ b/base/metrics.cpp
@@ -32,6 +32,8 @@
 struct metric_shard {
     std::map<series_key, std::uint64_t> counters;
     std::map<series_key, double> gauges;
+    /// Nodes of a map keep their address, so references to its counters stay valid.
+    std::map<series_key, metric_counter> found_counters;
     std::map<series_key, summary_accumulator> summaries;
 };
 
@@ -106,6 +108,13 @@
     });
 }
 
+metric_counter& find_counter(std::string_view name, std::string_view labels)
+{
+    return shards().with(shard_of(name, labels), [&](metric_shard& shard) -> metric_counter& {
+        return shard.found_counters[{std::string(name), std::string(labels)}];
+    });
+}
+
 std::string render_metrics()
 {
     std::ostringstream out;
@@ -113,6 +122,9 @@
         for (const auto& [key, value] : shard.counters) {
             out << format_series(key) << " " << value << "\n";
         }
+        for (const auto& [key, counter] : shard.found_counters) {
+            out << format_series(key) << " " << counter.value() << "\n";
+        }
         for (const auto& [key, value] : shard.gauges) {
             out << format_series(key) << " " << value << "\n";
         }
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -15,6 +15,7 @@
 #include "base/signature.h"
 #include "base/time.h"
 #include "fleet/delivery_watch.h"
+#include "fleet/traffic_counters.h"
 
 namespace balsamdrift {
 namespace {
@@ -74,6 +75,8 @@
         return;
     }
     fleet_frame& it = value_of(frame);
+    count_message(traffic_direction::received, static_cast<fleet_channel>(it.channel), it.body,
+                  bytes.size());
     observe_timeline_stamp(it.stamp);
     peers.with(it.sender, [&](peer_shard& shard) {
         shard.received_stamps[it.sender] = it.stamp;
@@ -204,6 +207,7 @@
                                     received == it.received_stamps.end() ? 0 : received->second};
         const std::string encoded = encode(frame);
         std::string bytes = sign(encoded, impl_->options.secret) + encoded;
+        count_message(traffic_direction::sent, channel, frame.body, bytes.size());
         record_sent(peer.watch, {}, frame.stamp, bytes.size(), now);
         // The message is dropped if the queue is full; every protocol repeats its messages if it
         // needs them delivered.
--- a/pooling/instance_connection.h
+++ b/pooling/instance_connection.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "core/routing/placement.h"
 #include "core/statements/statement.h"
 
 namespace balsamdrift {
@@ -15,6 +16,8 @@
     std::string service;
     /// Customer whose statements run on the connection; empty on routes that are open to all.
     std::string customer;
+    /// Distance to the instance, by which its traffic is counted.
+    proximity distance = proximity::same_failure_domain;
 };
 
 /// Why a connection ended.
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -253,7 +253,8 @@
         hooks_.open({.address = pool.heartbeat.address,
                      .instance = pool.heartbeat.instance,
                      .service = pool.heartbeat.service,
-                     .customer = customer},
+                     .customer = customer,
+                     .distance = distance_to(pool)},
                     {.on_started =
                          [this, weak](const statement_answer& it) {
                              if (const auto self = weak.lock()) {
