Dial a fleet connection anew when it is not established within 250 ms

After a loss of power of all VMs callers were served again only after about 2 s.

A connection that is not established in time is now replaced by the next send. The new test, with a port that drops opening packets, fails without the change (nothing received in 600 ms) and passes with it.

--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -6,11 +6,13 @@
 
 #include <atomic>
 #include <map>
+#include <memory>
 #include <optional>
 #include <thread>
 
 #include "base/codec.h"
 #include "base/event_log.h"
+#include "base/metrics.h"
 #include "base/sharded.h"
 #include "base/signature.h"
 #include "base/time.h"
@@ -25,6 +27,11 @@
 constexpr nng_duration reconnect_min_ms = 20;
 constexpr nng_duration reconnect_max_ms = 200;
 constexpr nng_duration receive_timeout_ms = 200;
+
+/// A connection that is not established within this time is dialled anew. The opening packet to a
+/// VM that is still starting is lost, and the operating system repeats it only after a second; this
+/// covers ten round trips between regions.
+constexpr milliseconds connect_timeout(250);
 constexpr std::size_t max_message_bytes = std::size_t{64} * 1024 * 1024;
 
 bool is_signed(std::string_view bytes, const std::string& secret)
@@ -38,6 +45,10 @@
 struct peer_socket {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     delivery_watch watch;
+    time_point dialed_at{};
+    /// Set by a thread of nng once the connection has been established; later losses of it are
+    /// found by `watch`.
+    std::unique_ptr<std::atomic<bool>> established = std::make_unique<std::atomic<bool>>(false);
 };
 
 /// One shard of what is known of the peers, by their `address:port`.
@@ -47,6 +58,11 @@
     std::map<std::string, std::uint64_t> received_stamps;
 };
 
+void on_established(nng_pipe /*pipe*/, nng_pipe_ev /*event*/, void* established)
+{
+    static_cast<std::atomic<bool>*>(established)->store(true);
+}
+
 std::string url_of(const std::string& address) { return "tcp://" + address; }
 
 }  // namespace
@@ -62,7 +78,7 @@
     void receive_loop();
     void deliver(std::string_view bytes);
     bool reconnect_if_overdue(const std::string& address, peer_socket& peer, time_point now);
-    bool open_peer(const std::string& address, nng_socket& socket) const;
+    bool open_peer(const std::string& address, peer_socket& peer) const;
 };
 
 void fleet_node::implementation::deliver(std::string_view bytes)
@@ -100,35 +116,43 @@
     }
 }
 
-bool fleet_node::implementation::open_peer(const std::string& address, nng_socket& socket) const
+bool fleet_node::implementation::open_peer(const std::string& address, peer_socket& peer) const
 {
-    if (nng_push0_open(&socket) != 0) {
+    if (nng_push0_open(&peer.socket) != 0) {
         return false;
     }
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, send_queue_messages);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
-    if (nng_dial(socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-        nng_close(socket);
+    nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, send_queue_messages);
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
+    nng_pipe_notify(peer.socket, NNG_PIPE_EV_ADD_POST, on_established, peer.established.get());
+    if (nng_dial(peer.socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
+        nng_close(peer.socket);
         return false;
     }
+    peer.dialed_at = monotonic_clock::now();
     return true;
 }
 
-/// Replaces the connection if the peer does not confirm what was sent over it. Returns false if no
-/// new connection can be opened.
+/// Replaces the connection if it is not established in time or the peer does not confirm what was
+/// sent over it. Returns false if no new connection can be opened.
 bool fleet_node::implementation::reconnect_if_overdue(const std::string& address, peer_socket& peer,
                                                       time_point now)
 {
-    if (!is_overdue(peer.watch, now)) {
+    const bool connecting = !peer.established->load();
+    const bool connect_overdue = connecting && now - peer.dialed_at > connect_timeout;
+    const bool unconfirmed = is_overdue(peer.watch, now);
+    if (!connect_overdue && !unconfirmed) {
         return true;
     }
-    log_event(
-        event_id::fleet_connection_replaced,
-        {{"peer", address}, {"waited_ms", milliseconds_text(now - peer.watch.watched->sent_at)}});
+    if (!connecting) {
+        log_event(event_id::fleet_connection_replaced,
+                  {{"peer", address},
+                   {"waited_ms", milliseconds_text(now - peer.watch.watched->sent_at)}});
+    }
+    count_metric("balsamdrift_fleet_reconnects_total");
     nng_close(peer.socket);
-    peer.watch = {};
-    return open_peer(address, peer.socket);
+    peer = {};
+    return open_peer(address, peer);
 }
 
 fleet_node::fleet_node(fleet_options options) : impl_(std::make_unique<implementation>())
@@ -188,10 +212,10 @@
         auto found = it.sockets.find(address);
         if (found == it.sockets.end()) {
             peer_socket peer;
-            if (!impl_->open_peer(address, peer.socket)) {
+            if (!impl_->open_peer(address, peer)) {
                 return;
             }
-            found = it.sockets.emplace(address, peer).first;
+            found = it.sockets.emplace(address, std::move(peer)).first;
         }
         peer_socket& peer = found->second;
         if (!impl_->reconnect_if_overdue(address, peer, now)) {
--- a/fleet/tests/fleet_node_test.cpp
+++ b/fleet/tests/fleet_node_test.cpp
@@ -1,12 +1,18 @@
 #include "fleet/fleet_node.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <QCoreApplication>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -54,6 +60,44 @@
     int accepted_count_ = 0;
 };
 
+/// A port whose queue of new connections is full, so that the opening packet of a further
+/// connection is dropped, as by a VM that is still starting. close() frees the port.
+class unresponsive_port {
+public:
+    unresponsive_port()
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{.sin_family = AF_INET};
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+        ::listen(listener_, 0);
+        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        for (int& it : clients_) {
+            it = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            (void)::connect(it, reinterpret_cast<sockaddr*>(&address), size);
+        }
+    }
+    ~unresponsive_port() { close(); }
+    unresponsive_port(const unresponsive_port&) = delete;
+    unresponsive_port& operator=(const unresponsive_port&) = delete;
+
+    std::uint16_t port() const { return port_; }
+    void close()
+    {
+        for (int& it : clients_) {
+            ::close(std::exchange(it, -1));
+        }
+        ::close(std::exchange(listener_, -1));
+    }
+
+private:
+    int listener_ = -1;
+    std::array<int, 3> clients_{};
+    std::uint16_t port_ = 0;
+};
+
 void process_events_for(duration span)
 {
     const time_point end = monotonic_clock::now() + span;
@@ -124,3 +168,28 @@
     sender.stop();
     receiver.stop();
 }
+
+TEST_CASE("a message waits for a second after the first packet to a starting peer was dropped",
+          "[fleet]")
+{
+    unresponsive_port starting;
+    const std::string address = "127.0.0.1:" + std::to_string(starting.port());
+    fleet_node sender({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(sender.start([](fleet_message) {})));
+    sender.send(address, fleet_channel::lease, "first");
+    process_events_for(milliseconds(100));
+    starting.close();
+
+    std::atomic<int> received = 0;
+    fleet_node peer({.listen = {"127.0.0.1", starting.port()}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(peer.start([&](fleet_message) { ++received; })));
+    // The operating system repeats the dropped packet a second after it was sent.
+    const time_point end = monotonic_clock::now() + milliseconds(600);
+    while (received == 0 && monotonic_clock::now() < end) {
+        sender.send(address, fleet_channel::lease, "repeated");
+        process_events_for(milliseconds(20));
+    }
+    CHECK(received > 0);
+    sender.stop();
+    peer.stop();
+}
