Send an entry the registry instead of a longer history

An entry that has just started has index 0. A leader whose log still began at index 1 sent it every entry of the log, also superseded configurations; after the loss of power the first entry had its configuration 0.6 s after the leader was elected, on links of 1.4 Mbit/s.

The compressed registry is now sent when it is smaller than the missing log entries. The new test fails without the change (the grant carries the log) and passes with it.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -458,18 +458,28 @@
 
 void control_service::add_registry_update(lease_grant& grant, std::uint64_t known_index) const
 {
-    const bool has_gap = recent_log_.empty() ? known_index < registry_.index
-                                             : known_index + 1 < recent_log_.front().index;
+    if (known_index >= registry_.index) {
+        return;
+    }
+    const bool has_gap = recent_log_.empty() || known_index + 1 < recent_log_.front().index;
     if (has_gap) {
         grant.snapshot = compressed_registry();
         return;
     }
-    if (known_index < registry_.index && !recent_log_.empty()) {
-        // The recent log entries have no gaps, so the first missing one is found by its index.
-        const auto first_missing =
-            static_cast<std::ptrdiff_t>(known_index + 1 - recent_log_.front().index);
-        grant.entries.assign(recent_log_.begin() + first_missing, recent_log_.end());
+    // The recent log entries have no gaps, so the first missing one is found by its index.
+    const auto first_missing =
+        recent_log_.begin() +
+        static_cast<std::ptrdiff_t>(known_index + 1 - recent_log_.front().index);
+    const std::size_t log_bytes =
+        std::accumulate(first_missing, recent_log_.end(), std::size_t{0},
+                        [](std::size_t sum, const log_entry& it) { return sum + it.data.size(); });
+    // A process that has just started would otherwise be sent the whole history, which delays its
+    // first statements and costs traffic.
+    if (log_bytes >= large_transfer_bytes && compressed_registry().size() < log_bytes) {
+        grant.snapshot = compressed_registry();
+        return;
     }
+    grant.entries.assign(first_missing, recent_log_.end());
 }
 
 lease_grant control_service::make_grant(const lease_request& it, const replica_id& entry)
--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -4,12 +4,16 @@
 
 #include <QCoreApplication>
 #include <QTemporaryDir>
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <thread>
 
+#include "base/codec.h"
+#include "base/random.h"
+
 using namespace balsamdrift;
 
 namespace {
@@ -211,3 +215,46 @@
     CHECK(version_when_settled == 6);
     CHECK(group.version_at(leader) == 6);
 }
+
+TEST_CASE("an entry that starts is sent the whole history instead of the smaller registry",
+          "[control]")
+{
+    member_fixture it;
+    run_events(milliseconds(400));
+    // Each version replaces the one before, so the history outgrows the state. Random names do not
+    // compress.
+    random_engine random(1);
+    for (std::uint64_t version = 1; version <= 40; ++version) {
+        std::string name(2000, ' ');
+        std::generate(name.begin(), name.end(), [&] { return static_cast<char>(random()); });
+        declared_configuration configuration{.version = version};
+        configuration.routes[name] = {};
+        it.control->submit(replace_declared{configuration}, [](bool, const std::string&) {});
+        run_events(milliseconds(20));
+    }
+    std::atomic<std::size_t> update_bytes = 0;
+    std::atomic<bool> has_snapshot = false;
+    fleet_node entry({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(entry.start([&](fleet_message message) {
+        const auto decoded = decode_variant<lease_message>(message.body);
+        const auto* const grant = succeeded(decoded)
+                                      ? std::get_if<lease_grant>(&std::get<lease_message>(decoded))
+                                      : nullptr;
+        if (grant != nullptr && (!grant->snapshot.empty() || !grant->entries.empty())) {
+            has_snapshot = !grant->snapshot.empty();
+            update_bytes = message.body.size();
+        }
+    })));
+    const lease_request request{.entry = "e1",
+                                .record = {.incarnation = 7, .address = entry.address()}};
+    const time_point end = monotonic_clock::now() + seconds(2);
+    while (update_bytes == 0 && monotonic_clock::now() < end) {
+        entry.send(it.fleet.address(), fleet_channel::lease,
+                   encode_variant(lease_message{request}));
+        run_events(milliseconds(50));
+    }
+    CHECK(has_snapshot);
+    CHECK(update_bytes > 0);
+    CHECK(update_bytes < 20'000);
+    entry.stop();
+}
