Replace primaries in evacuated failure domains by replicas elsewhere

An order to evacuate a failure domain had no effect on primaries. The coordinator now passes the instances in evacuated domains to the pure decision: a primary among them is replaced by a planned change, none of them is chosen as successor, and where none is left elsewhere the record stays and event 7006 is logged once. With synchronous replicas no replica is chosen while an evacuated one may hold an acknowledged commit that it lacks. The registry keeps which domains entries and orders have named.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -126,6 +126,12 @@
          "A declared configuration is durable and was acknowledged."},
         {event_id::declared_configuration_committed, "declared_configuration_committed", info,
          "The control member applied a new declared configuration from the log."},
+        {event_id::domain_evacuated, "domain_evacuated", info,
+         "The control member applied an order to evacuate a failure domain."},
+        {event_id::domain_restored, "domain_restored", info,
+         "The control member applied the withdrawal of an order to evacuate a failure domain."},
+        {event_id::evacuation_blocked, "evacuation_blocked", warning,
+         "No instance of the service outside the evacuated failure domains can act as primary."},
     };
     return rows;
 }
--- a/base/event.h
+++ b/base/event.h
@@ -74,6 +74,9 @@
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
     declared_configuration_committed = 7003,
+    domain_evacuated = 7004,
+    domain_restored = 7005,
+    evacuation_blocked = 7006,
 };
 
 /// Severity of an event, as it appears in the log line.
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -193,6 +193,11 @@
     if (record != view.state.primaries.end()) {
         change_view.record = record->second;
     }
+    for (const known_instance& it : change_view.instances) {
+        if (is_evacuated(view.state, it.last_heartbeat.failure_domain)) {
+            change_view.evacuated.insert(it.last_heartbeat.instance);
+        }
+    }
     // The other phases do not depend on it, and asking costs a look at every entry.
     change_view.entries_settled = change_view.record.phase == primary_phase::suspended &&
                                   all_settled(view.leases, view.state.entries,
@@ -258,6 +263,10 @@
                     requests_.step_down(*instance, it.term);
                 }
             },
+            [&](const report_blocked_evacuation& it) {
+                log_event(event_id::evacuation_blocked,
+                          {{"service", service}, {"instance", it.instance}});
+            },
         },
         action);
 }
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -16,8 +16,8 @@
 }
 
 /// Resets the state when the record has entered another phase. What does not depend on the phase is
-/// kept: when the primary last served an entry, the newest term, and during a change the excluded
-/// replicas.
+/// kept: when the primary last served an entry, the newest term, whether a blocked evacuation was
+/// reported, and during a change the excluded replicas.
 void enter_phase(primary_change_state& state, const primary_record& record, time_point now)
 {
     if (state.epoch == record.epoch) {
@@ -26,7 +26,8 @@
     primary_change_state next{.epoch = record.epoch,
                               .phase_since = now,
                               .last_served_at = state.last_served_at,
-                              .newest_term = state.newest_term};
+                              .newest_term = state.newest_term,
+                              .blocked_evacuation_reported = state.blocked_evacuation_reported};
     if (record.phase != primary_phase::serving) {
         next.excluded_replicas = state.excluded_replicas;
     }
@@ -52,7 +53,13 @@
     out.push_back(std::move(phase));
 }
 
-/// Instances that may take over. Replicas that are leaving are used only when there are no others.
+bool is_fresh(const known_instance& it, const primary_change_options& options, time_point now)
+{
+    return now - it.last_heartbeat_at <= options.replica_heartbeat_timeout;
+}
+
+/// Instances that may take over. Replicas that are leaving are used only when there are no others,
+/// and instances in evacuated failure domains never.
 /// The recorded instance, which is being replaced or could not be promoted, comes last: once no
 /// entry uses it any more, it has every commit that was acknowledged, if it is running.
 std::vector<const known_instance*> eligible_replicas(const primary_change_state& state,
@@ -64,10 +71,11 @@
     std::vector<const known_instance*> leaving;
     std::vector<const known_instance*> recorded;
     for (const known_instance& it : view.instances) {
-        const bool fresh = now - it.last_heartbeat_at <= options.replica_heartbeat_timeout;
         const bool being_replaced = it.last_heartbeat.instance == view.record.instance &&
                                     view.record.phase != primary_phase::chosen;
-        if (!fresh || state.excluded_replicas.contains(it.last_heartbeat.instance)) {
+        if (!is_fresh(it, options, now) ||
+            state.excluded_replicas.contains(it.last_heartbeat.instance) ||
+            view.evacuated.contains(it.last_heartbeat.instance)) {
             continue;
         }
         if (being_replaced) {
@@ -126,8 +134,31 @@
     }
 }
 
-/// Proposes to replace the primary when it is lost, no longer primary, or leaving, provided that a
-/// replica can take over.
+/// Reports once when only instances in evacuated failure domains are left, none of which may act as
+/// primary.
+void report_if_blocked(primary_change_state& state, actions& out, const primary_change_view& view,
+                       const primary_change_options& options, time_point now)
+{
+    const bool blocked =
+        !view.evacuated.empty() &&
+        std::none_of(view.instances.begin(), view.instances.end(), [&](const known_instance& it) {
+            return is_fresh(it, options, now) &&
+                   !view.evacuated.contains(it.last_heartbeat.instance);
+        });
+    if (!blocked) {
+        state.blocked_evacuation_reported = false;
+        return;
+    }
+    // A new leader may not have received a heartbeat of every instance yet.
+    const bool may_not_have_reported = now - state.phase_since < options.replica_heartbeat_timeout;
+    if (!state.blocked_evacuation_reported && !may_not_have_reported) {
+        state.blocked_evacuation_reported = true;
+        out.push_back(report_blocked_evacuation{view.record.instance});
+    }
+}
+
+/// Proposes to replace the primary when it is lost, no longer primary, leaving, or in an evacuated
+/// failure domain, provided that a replica can take over.
 void monitor_serving_primary(primary_change_state& state, actions& out,
                              const primary_change_view& view, const primary_change_options& options,
                              time_point now)
@@ -139,7 +170,8 @@
     if (may_not_have_reported || eligible_replicas(state, view, options, now).empty()) {
         return;
     }
-    if (primary != nullptr && primary->last_heartbeat.leaving) {
+    const bool evacuated = view.evacuated.contains(view.record.instance);
+    if (evacuated || (primary != nullptr && primary->last_heartbeat.leaving)) {
         propose(state, out, {view.record.instance, primary_phase::suspended, true}, now);
         return;
     }
@@ -190,6 +222,38 @@
     return best;
 }
 
+/// The replicas in evacuated failure domains. With synchronous replicas, one of them may hold an
+/// acknowledged commit that the instances elsewhere lack, even if it is silent now.
+std::vector<const known_instance*> evacuated_replicas(const primary_change_view& view)
+{
+    std::vector<const known_instance*> replicas;
+    for (const known_instance& it : view.instances) {
+        const std::string& name = it.last_heartbeat.instance;
+        if (name != view.record.instance && view.evacuated.contains(name)) {
+            replicas.push_back(&it);
+        }
+    }
+    return replicas;
+}
+
+std::size_t count_answered(const primary_change_state& state,
+                           const std::vector<const known_instance*>& replicas)
+{
+    return static_cast<std::size_t>(
+        std::count_if(replicas.begin(), replicas.end(), [&](const known_instance* it) {
+            return state.status_answers.contains(it->last_heartbeat.instance);
+        }));
+}
+
+/// True when the best replica has received everything that the evacuated ones that answered have.
+bool has_commits_of_evacuated(const primary_change_state& state, const known_instance& best,
+                              const std::vector<const known_instance*>& evacuated)
+{
+    const known_instance* const ahead = most_advanced_replica(state, evacuated);
+    return ahead == nullptr || state.status_answers.at(best.last_heartbeat.instance).received >=
+                                   state.status_answers.at(ahead->last_heartbeat.instance).received;
+}
+
 /// Chooses the replica to promote once enough replicas have reported their positions.
 void choose_successor(primary_change_state& state, actions& out, const primary_change_view& view,
                       const primary_change_options& options, time_point now)
@@ -214,33 +278,45 @@
     }
     const known_instance* const best = most_advanced_replica(state, replicas);
     const duration waited = now - state.phase_since;
-    std::size_t answered = 0;
-    for (const known_instance* it : replicas) {
-        answered += state.status_answers.contains(it->last_heartbeat.instance) ? 1 : 0;
-    }
     if (best == nullptr) {
         return;
     }
+    bool complete = false;
     if (view.record.planned) {
         request_status_if_due(state, out, view.record.instance, options.status_interval, now);
         const auto old_primary = state.status_answers.find(view.record.instance);
-        const bool complete = old_primary != state.status_answers.end() &&
-                              state.status_answers.at(best->last_heartbeat.instance).received >=
-                                  old_primary->second.received;
+        complete = old_primary != state.status_answers.end() &&
+                   state.status_answers.at(best->last_heartbeat.instance).received >=
+                       old_primary->second.received;
         if (!complete && waited < options.handover_timeout) {
             return;
         }
     }
-    else {
+    // Evacuated replicas are asked only where an acknowledged commit could otherwise be lost.
+    std::vector<const known_instance*> evacuated;
+    if (view.synchronous_replicas > 0 && !complete) {
+        evacuated = evacuated_replicas(view);
+    }
+    for (const known_instance* it : evacuated) {
+        request_status_if_due(state, out, it->last_heartbeat.instance, options.status_interval,
+                              now);
+    }
+    if (!has_commits_of_evacuated(state, *best, evacuated)) {
+        return;
+    }
+    const bool may_lose_commits = !view.record.planned || !evacuated.empty();
+    if (may_lose_commits && !complete) {
         // A commit is acknowledged by `synchronous_replicas` replicas, so at most one fewer may be
         // missing if one that has the commit is to be among those that answered.
+        const std::size_t answered =
+            count_answered(state, replicas) + count_answered(state, evacuated);
         const std::size_t other_instances = view.instances.empty() ? 0 : view.instances.size() - 1;
         const auto max_missing =
             static_cast<std::size_t>(std::max(view.synchronous_replicas - 1, 0));
         const bool may_choose = view.synchronous_replicas == 0
                                     ? waited >= options.selection_timeout
                                     : answered + max_missing >= other_instances;
-        if (answered < replicas.size() && !may_choose) {
+        if (answered < replicas.size() + evacuated.size() && !may_choose) {
             return;
         }
         if (view.synchronous_replicas > 0 && answered + max_missing < other_instances) {
@@ -304,6 +380,9 @@
 {
     enter_phase(state, view.record, now);
     actions out;
+    if (!view.record.instance.empty()) {
+        report_if_blocked(state, out, view, options, now);
+    }
     if (state.proposed_at && now - *state.proposed_at < proposal_timeout) {
         return out;
     }
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -70,6 +70,8 @@
     std::optional<time_point> proposed_at;
     /// Highest term that an instance reported.
     std::uint64_t newest_term = 0;
+    /// True once an evacuation that lacks a successor was reported, until it has one or ends.
+    bool blocked_evacuation_reported = false;
 };
 
 /// Input of advance() besides the state.
@@ -81,6 +83,9 @@
     bool entries_settled = false;
     /// Replicas that must have received a commit before it is acknowledged.
     int synchronous_replicas = 0;
+    /// Names of the instances in evacuated failure domains. A primary among them is replaced by a
+    /// planned change, and none of them is chosen as successor.
+    std::set<std::string> evacuated;
 };
 
 /// Action: propose a new phase of the primary record to the control log.
@@ -107,9 +112,15 @@
     std::uint64_t term = 0;
 };
 
+/// Action: warn that no instance outside the evacuated failure domains can succeed the recorded
+/// primary. The record stays until one can.
+struct report_blocked_evacuation {
+    std::string instance;
+};
+
 /// An action that the caller of advance() must perform.
-using primary_action =
-    std::variant<propose_phase, request_status, request_promotion, request_step_down>;
+using primary_action = std::variant<propose_phase, request_status, request_promotion,
+                                    request_step_down, report_blocked_evacuation>;
 
 /// Decides what to do next for the primary of one service. Must be called periodically; the
 /// functions below only update the state for the next call.
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -186,6 +186,7 @@
     if (domain.empty()) {
         return invalid("a failure domain needs a name");
     }
+    state.ordered_domains.insert(domain);
     if (evacuated) {
         state.evacuated_domains.insert(domain);
     }
@@ -252,6 +253,9 @@
         free_items_of(state, {it.entry, found->second.incarnation});
     }
     state.entries[it.entry] = it.record;
+    if (!it.record.failure_domain.empty()) {
+        state.entry_domains.insert(it.record.failure_domain);
+    }
     return accepted(0);
 }
 
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -49,11 +49,16 @@
     std::deque<std::string> leaving_order;
     /// Failure domains whose instances get no statements, by order of an operator.
     std::set<std::string> evacuated_domains;
+    /// Failure domains in which an entry is or was registered.
+    std::set<std::string> entry_domains;
+    /// Failure domains that an order of an operator has ever named. A repeated order for one of
+    /// them is accepted like the first, even if nothing else knows the domain any more.
+    std::set<std::string> ordered_domains;
 
     bool operator==(const registry&) const = default;
     MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
                    results, result_order, declared, primaries, leaving, leaving_order,
-                   evacuated_domains)
+                   evacuated_domains, entry_domains, ordered_domains)
 };
 
 /// Applies the command at a log index. Deterministic, so that equal registries stay equal.
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -28,6 +28,7 @@
     std::vector<std::string> stepped_down;
     int status_requests = 0;
     std::vector<primary_phase> phases;
+    int blocked_reports = 0;
     /// True while instance a announces that it is leaving.
     bool primary_leaving = false;
 
@@ -76,6 +77,7 @@
                     }
                 },
                 [&](const request_step_down& it) { stepped_down.push_back(it.instance); },
+                [&](const report_blocked_evacuation&) { ++blocked_reports; },
             },
             action);
     }
@@ -312,3 +314,116 @@
     it.run(seconds(4));
     CHECK(it.view.record.instance == "c");
 }
+
+TEST_CASE(
+    "a primary in an evacuated domain is replaced by a replica elsewhere once that has everything",
+    "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.view.evacuated = {"a", "c"};
+    it.run(milliseconds(100));
+    CHECK(it.view.record.phase == primary_phase::suspended);
+    CHECK(it.view.record.planned);
+    it.statuses["b"].received = {1, 100};
+    it.run(seconds(2));
+    CHECK(it.view.record.instance == "b");
+    CHECK(it.view.record.phase == primary_phase::serving);
+    CHECK(it.promoted == std::vector<std::string>{"b"});
+}
+
+TEST_CASE("a replica in an evacuated domain is not promoted when the primary is lost", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.view.evacuated = {"c"};
+    it.up["a"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    SECTION("while there is another")
+    {
+        it.run(seconds(4));
+        CHECK(it.promoted == std::vector<std::string>{"b"});
+    }
+    SECTION("when it is the only one left, until the order is withdrawn")
+    {
+        it.up["b"] = false;
+        it.run(seconds(20));
+        CHECK(it.promoted.empty());
+        CHECK(it.blocked_reports == 1);
+        it.view.evacuated.clear();
+        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.run(seconds(8));
+        CHECK(it.view.record.instance == "c");
+    }
+}
+
+TEST_CASE("an evacuated primary without a replica elsewhere keeps its record and is reported once",
+          "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(6));
+    const auto record = it.view.record;
+    it.view.evacuated = {"a", "b", "c"};
+    it.run(seconds(10));
+    CHECK(it.view.record == record);
+    CHECK(it.promoted.empty());
+    CHECK(it.blocked_reports == 1);
+    it.view.evacuated = {"a"};
+    it.run(seconds(4));
+    CHECK(it.view.record.instance == "c");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
+TEST_CASE("an evacuated primary that is being replaced is not chosen again", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.view.evacuated = {"a"};
+    it.entries_settled = false;
+    it.run(milliseconds(100));
+    REQUIRE(it.view.record.phase == primary_phase::suspended);
+    it.entries_settled = true;
+    it.up["b"] = false;
+    it.up["c"] = false;
+    it.rejected = {"b", "c"};
+    it.run(seconds(12));
+    CHECK(it.view.record.phase != primary_phase::serving);
+    CHECK(std::find(it.promoted.begin(), it.promoted.end(), "a") == it.promoted.end());
+    it.view.evacuated.clear();
+    it.run(seconds(4));
+    CHECK(it.view.record.instance == "a");
+}
+
+TEST_CASE("with synchronous replicas a commit that only an evacuated replica holds is not lost",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.view.evacuated = {"a", "c"};
+    const bool c_answers = GENERATE(true, false);
+    it.up["a"] = false;
+    it.up["c"] = c_answers;
+    // Instance c has received more than b, the only instance elsewhere.
+    it.run(seconds(6));
+    CHECK(it.promoted.empty());
+    it.up["c"] = true;
+    it.statuses["b"].received = it.statuses["c"].received;
+    it.run(seconds(4));
+    CHECK(it.view.record.instance == "b");
+}
+
+TEST_CASE("a planned change out of an evacuated domain continues under a new leader", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.view.evacuated = {"a"};
+    it.entries_settled = false;
+    it.run(milliseconds(100));
+    REQUIRE(it.view.record.phase == primary_phase::suspended);
+    it.state = {};
+    it.entries_settled = true;
+    it.run(seconds(4));
+    CHECK(it.view.record.phase == primary_phase::serving);
+    CHECK(it.view.record.instance == "c");
+}
