Take orders to evacuate failure domains from the platform

The leader refuses an order for a domain that neither the settings (coordination.regions), heartbeats, entries nor earlier orders name; the refusal reaches the member that was asked, which answers 404. Without any known domain every order is accepted.

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -121,6 +121,9 @@
         control.rates = read_rates(in.section("rates"));
     }
     control.assigns_owners = false;
+    for (const auto& [domain, region] : in.text_map("regions")) {
+        control.failure_domains.insert(domain);
+    }
     for (const std::string& it : fleet_addresses(in.addresses("seed_hosts"), fleet_listen)) {
         control.members.push_back({{}, it});
     }
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
     /// Number of members that may lose their disks at the same time without loss of an acknowledged
     /// change. A change is acknowledged once one member more has stored it.
     std::size_t disks_lost_at_once = 0;
+    /// Failure domains that the settings name. An order for one that is known from nowhere is
+    /// refused.
+    std::set<std::string> failure_domains;
     /// How far customers may exceed their rate limits, and over which window.
     token_pool_options rates;
     /// Whether this member may form a new group. False when the settings say that other members
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -10,7 +10,9 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "control/domain_events.h"
 #include "core/ownership/assignment.h"
+#include "core/registry/domain_order.h"
 
 namespace balsamdrift {
 namespace {
@@ -61,6 +63,21 @@
     MSGPACK_DEFINE(from, to, message)
 };
 
+/// Failure domain of an encoded order; empty for any other command. Larger commands are no orders
+/// and are not decoded.
+std::string encoded_order_domain(const std::string& data)
+{
+    if (data.size() >= configuration_command_bytes) {
+        return {};
+    }
+    auto plain = decompress(data);
+    if (!succeeded(plain)) {
+        return {};
+    }
+    auto command = decode_variant<registry_command>(value_of(plain));
+    return succeeded(command) ? ordered_domain(value_of(command)) : std::string();
+}
+
 /// Returns random bytes that serve as the key of session tokens.
 std::string random_secret()
 {
@@ -80,7 +97,8 @@
       fleet_(fleet),
       coordinator_(requests, options_.rates,
                    [this](const registry_command& it) { propose_internal(it); }),
-      coordinates_services_(requests.promote != nullptr)
+      coordinates_services_(requests.promote != nullptr),
+      seen_domains_(options_.failure_domains)
 {
     connect(&timer_, &QTimer::timeout, this, &control_service::on_tick);
     timer_.setTimerType(Qt::PreciseTimer);
@@ -249,6 +267,7 @@
             const bool large = it.data.size() >= configuration_command_bytes;
             const auto previous = large ? registry_.declared : declared_configuration{};
             const std::uint64_t previous_version = registry_.declared.version;
+            const auto previous_domains = registry_.evacuated_domains;
             result = apply_encoded(registry_, it.index, it.data);
             if (registry_.declared.version != previous_version) {
                 log_event(event_id::declared_configuration_committed,
@@ -256,6 +275,7 @@
                            {"index", std::to_string(it.index)},
                            {"term", std::to_string(it.term)}});
             }
+            report_domain_changes(previous_domains, registry_.evacuated_domains, it.index);
             if (large) {
                 forwarded_entry.data = command_for_entries(it.data, previous, registry_.declared);
             }
@@ -311,12 +331,25 @@
     }
 }
 
+std::string control_service::refusal_of(const std::string& domain) const
+{
+    if (domain.empty() || !consensus_ || !holds_leadership(*consensus_, monotonic_clock::now())) {
+        return {};
+    }
+    return check_ordered_domain(registry_, seen_domains_, domain);
+}
+
 void control_service::propose(const registry_command& command, proposal_handler on_done)
 {
     std::string data = encode_command(command);
     QMetaObject::invokeMethod(
         this,
-        [this, data = std::move(data), on_done = std::move(on_done)] {
+        [this, data = std::move(data), domain = ordered_domain(command),
+         on_done = std::move(on_done)] {
+            if (std::string refusal = refusal_of(domain); !refusal.empty()) {
+                on_done(change_result{change_status::invalid, 0, std::move(refusal)});
+                return;
+            }
             queued_proposals_.push_back({data, on_done});
             // All proposals that wait in the event loop are appended and synced together.
             if (!flush_scheduled_) {
@@ -571,8 +604,16 @@
 
 void control_service::handle(const rate_token_grant&, const std::string&) {}
 
+void control_service::remember_domain(const std::string& domain)
+{
+    if (!domain.empty()) {
+        seen_domains_.insert(domain);
+    }
+}
+
 void control_service::handle(const relayed_heartbeat& it, const std::string&)
 {
+    remember_domain(it.heartbeat.failure_domain);
     if (holds_leadership(*consensus_, monotonic_clock::now())) {
         coordinator_.handle_heartbeat(it.heartbeat, monotonic_clock::now());
     }
@@ -590,10 +631,10 @@
     if (!holds_leadership(*consensus_, monotonic_clock::now())) {
         return;
     }
-    run_submission(it.command,
-                   [this, id = it.id, sender](bool settled, const std::string& document) {
-                       send_message(sender, relayed_command_result{id, settled, document});
-                   });
+    run_submission(it.command, [this, id = it.id, sender](bool settled, const std::string& text) {
+        send_message(sender,
+                     relayed_command_result{id, settled, settled ? text : "", settled ? "" : text});
+    });
 }
 
 void control_service::handle(const relayed_command_result& it, const std::string& sender)
@@ -605,6 +646,9 @@
     else if (it.settled) {
         complete_submission(it.id, true, it.document);
     }
+    else if (!it.refusal.empty()) {
+        complete_submission(it.id, false, it.refusal);
+    }
 }
 
 void control_service::handle_heartbeat(const instance_heartbeat& it)
@@ -613,6 +657,7 @@
         this,
         [this, it] {
             const time_point now = monotonic_clock::now();
+            remember_domain(it.failure_domain);
             if (!consensus_) {
                 return;
             }
@@ -674,9 +719,9 @@
     }
     if (holds_leadership(*consensus_, now)) {
         it.sent_at = now;
-        run_submission(it.command, [this, id](bool settled, const std::string& document) {
-            if (settled) {
-                complete_submission(id, true, document);
+        run_submission(it.command, [this, id](bool settled, const std::string& text) {
+            if (settled || !text.empty()) {
+                complete_submission(id, settled, text);
             }
         });
         return;
@@ -688,8 +733,7 @@
     }
 }
 
-void control_service::complete_submission(std::uint64_t id, bool settled,
-                                          const std::string& document)
+void control_service::complete_submission(std::uint64_t id, bool settled, const std::string& text)
 {
     const auto found = submissions_.find(id);
     if (found == submissions_.end()) {
@@ -702,7 +746,7 @@
                                              {"settled", settled ? "yes" : "no"},
                                              {"sent", done.sent_at ? "yes" : "no"},
                                              {"leader", leader_address()}});
-    done.on_done(settled, document);
+    done.on_done(settled, text);
 }
 
 void control_service::run_submission(const std::string& command, submit_handler on_done)
@@ -711,6 +755,10 @@
         on_done(true, registry_.declared.document);
         return;
     }
+    if (const std::string refusal = refusal_of(encoded_order_domain(command)); !refusal.empty()) {
+        on_done(false, refusal);
+        return;
+    }
     queued_proposals_.push_back(
         {command, [on_done = std::move(on_done)](const proposal_outcome& res) {
              on_done(std::holds_alternative<change_result>(res), {});
@@ -872,6 +920,8 @@
 {
     const time_point now = monotonic_clock::now();
     next_publish_at_ = now + publish_interval;
+    set_metric("balsamdrift_evacuated_domains", {},
+               static_cast<double>(registry_.evacuated_domains.size()));
     control_status updated;
     updated.name = options_.name;
     if (consensus_) {
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -59,9 +59,10 @@
     /// Called once with the outcome of a proposal.
     using proposal_handler = std::function<void(proposal_outcome)>;
 
-    /// Called once. `settled` is false if the result of the submission is not known; `document` is
-    /// the declared configuration, if that was requested.
-    using submit_handler = std::function<void(bool settled, const std::string& document)>;
+    /// Called once. If `settled` is true, `text` is the declared configuration, if that was
+    /// requested. Otherwise `text` is the reason if the submission was refused, of which nothing is
+    /// kept then, and empty if its result is not known.
+    using submit_handler = std::function<void(bool settled, const std::string& text)>;
 
     /// Services are coordinated only if the functions of `requests` are set.
     control_service(control_options options, fleet_node& fleet,
@@ -81,8 +82,9 @@
     void propose(const registry_command& command, proposal_handler on_done);
 
     /// Has a command committed by the current leader, and retries until a timeout. If `on_done`
-    /// gets false for `settled`, the command may have been committed or not, and the caller may
-    /// submit it again. Only for idempotent commands. Safe from any thread.
+    /// gets false for `settled` and no reason, the command may have been committed or not, and the
+    /// caller may submit it again. Only for idempotent commands. An order for a failure domain that
+    /// the leader does not know is refused. Safe from any thread.
     void submit(const registry_command& command, submit_handler on_done);
 
     /// Reads the declared configuration from a member whose leadership is confirmed at that time.
@@ -145,6 +147,11 @@
     void handle_storage_failure(const std::string& message);
     /// Appends all queued proposals to the log, or fails them if this member does not lead.
     void flush_proposals();
+    /// Why an order for a failure domain is refused; empty if it is accepted, if this member does
+    /// not lead, or if `domain` is empty because the command is none.
+    std::string refusal_of(const std::string& domain) const;
+    /// Adds the failure domain of a heartbeat to `seen_domains_`.
+    void remember_domain(const std::string& domain);
     /// Calls the handlers of the proposals at a log index that is now committed with this term.
     void complete_proposals(std::uint64_t index, std::uint64_t term, const change_result& result);
     /// Fails all pending and queued proposals.
@@ -172,7 +179,7 @@
     void add_submission(std::string command, submit_handler on_done);
     /// Passes a submission to the leader, which may be this member. Does nothing if none is known.
     void dispatch_submission(std::uint64_t id, submission& it, time_point now);
-    void complete_submission(std::uint64_t id, bool settled, const std::string& document);
+    void complete_submission(std::uint64_t id, bool settled, const std::string& text);
     /// Handles a submission on the leader.
     void run_submission(const std::string& command, submit_handler on_done);
     /// Ends submissions that timed out and passes those to the leader again that it did not answer.
@@ -217,6 +224,8 @@
     service_coordinator coordinator_;
     /// True if services are coordinated here while this member leads.
     bool coordinates_services_ = false;
+    /// Failure domains in the settings and in the heartbeats that this member has received.
+    std::set<std::string> seen_domains_;
     /// By id.
     std::map<std::uint64_t, submission> submissions_;
     /// Starts at random, so that the leader's late result for an earlier process of this member
--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -82,8 +82,12 @@
     void start(const std::string& name, const std::string& folder,
                const std::vector<voter>& members)
     {
-        control_ = std::make_unique<control_service>(
-            control_options{.name = name, .data_folder = folder, .members = members}, fleet_);
+        control_ =
+            std::make_unique<control_service>(control_options{.name = name,
+                                                              .data_folder = folder,
+                                                              .members = members,
+                                                              .failure_domains = {"brest-port"}},
+                                              fleet_);
         REQUIRE(succeeded(control_->start()));
         receiver_ = control_.get();
     }
@@ -149,6 +153,23 @@
     {
         return processes[n]->control().status().state->declared.version;
     }
+    bool is_evacuated_at(std::size_t n, const std::string& domain)
+    {
+        return is_evacuated(*processes[n]->control().status().state, domain);
+    }
+    /// Submits a command to a member and waits for its result.
+    std::pair<bool, std::string> submit(std::size_t n, const registry_command& command)
+    {
+        std::optional<std::pair<bool, std::string>> result;
+        processes[n]->control().submit(command, [&](bool settled, const std::string& text) {
+            result = {settled, text};
+        });
+        for (int tries = 0; tries < 40 && !result; ++tries) {
+            run_events(milliseconds(50));
+        }
+        REQUIRE(result);
+        return *result;
+    }
 };
 
 }  // namespace
@@ -211,3 +232,40 @@
     CHECK(version_when_settled == 6);
     CHECK(group.version_at(leader) == 6);
 }
+
+TEST_CASE("an acknowledged evacuation is not forgotten by a new leader or a restarted member",
+          "[control]")
+{
+    group_fixture group;
+    const std::size_t leader = group.wait_for_leader();
+    const std::size_t follower = (leader + 1) % group.processes.size();
+    REQUIRE(group.submit(follower, evacuate_domain{"brest-port"}).first);
+    CHECK(group.is_evacuated_at(leader, "brest-port"));
+    group.restart(leader, milliseconds(1500));
+    const std::size_t successor = group.wait_for_leader();
+    CHECK(group.is_evacuated_at(successor, "brest-port"));
+    // The order is resent after its acknowledgement was lost.
+    CHECK(group.submit(leader, evacuate_domain{"brest-port"}).first);
+    CHECK(group.is_evacuated_at(leader, "brest-port"));
+    REQUIRE(group.submit(successor, restore_domain{"brest-port"}).first);
+    CHECK(!group.is_evacuated_at(successor, "brest-port"));
+}
+
+TEST_CASE("an order for an unknown domain is refused by every member and changes nothing",
+          "[control]")
+{
+    group_fixture group;
+    const std::size_t leader = group.wait_for_leader();
+    for (std::size_t n = 0; n < group.processes.size(); ++n) {
+        const auto [settled, refusal] = group.submit(n, evacuate_domain{"saint-malo"});
+        CHECK(!settled);
+        CHECK(refusal == "no failure domain 'saint-malo'");
+    }
+    CHECK(!group.is_evacuated_at(leader, "saint-malo"));
+    // The instance's domain is known on every member, whichever received its heartbeat.
+    const std::size_t follower = (leader + 1) % group.processes.size();
+    group.processes[follower]->control().handle_heartbeat(
+        {.instance = "i1", .failure_domain = "saint-malo"});
+    run_events(milliseconds(200));
+    CHECK(group.submit((leader + 2) % group.processes.size(), evacuate_domain{"saint-malo"}).first);
+}
--- a/core/tests/registry_test.cpp
+++ b/core/tests/registry_test.cpp
@@ -5,6 +5,7 @@
 
 #include "base/codec.h"
 #include "core/ownership/assignment.h"
+#include "core/registry/domain_order.h"
 #include "core/registry/item_id.h"
 
 using namespace balsamdrift;
@@ -143,6 +144,55 @@
     });
 }
 
+TEST_CASE("an evacuation is not lost with a snapshot and ends only when it is withdrawn",
+          "[registry]")
+{
+    registry_fixture run;
+    CHECK(run(evacuate_domain{"brest-port"}).status == change_status::accepted);
+    CHECK(run(change("1", evacuate_domain{"rennes-nord"})).status == change_status::accepted);
+    auto copy = decode<registry>(encode(run.state));
+    REQUIRE(succeeded(copy));
+    CHECK(is_evacuated(value_of(copy), "brest-port"));
+    CHECK(is_evacuated(value_of(copy), "rennes-nord"));
+    CHECK(!is_evacuated(value_of(copy), "lorient-ouest"));
+    run(restore_domain{"brest-port"});
+    CHECK(!is_evacuated(run.state, "brest-port"));
+    CHECK(is_evacuated(run.state, "rennes-nord"));
+}
+
+TEST_CASE(
+    "of two operators that race over a domain the later in the log decides, neither is refused",
+    "[registry]")
+{
+    registry_fixture run;
+    CHECK(run(change("1", evacuate_domain{"brest-port"}, {}, "ann")).status ==
+          change_status::accepted);
+    CHECK(run(change("1", restore_domain{"brest-port"}, {}, "bob")).status ==
+          change_status::accepted);
+    CHECK(!is_evacuated(run.state, "brest-port"));
+    // A resent change gets its answer again but does not undo the later one.
+    CHECK(run(change("1", evacuate_domain{"brest-port"}, {}, "ann")).status ==
+          change_status::accepted);
+    CHECK(!is_evacuated(run.state, "brest-port"));
+    CHECK(run(evacuate_domain{"brest-port"}).status == change_status::accepted);
+    CHECK(run(evacuate_domain{"brest-port"}).status == change_status::accepted);
+    CHECK(is_evacuated(run.state, "brest-port"));
+}
+
+TEST_CASE("an order for an unknown domain is refused, a repeated one never", "[registry]")
+{
+    registry_fixture run;
+    CHECK(check_ordered_domain(run.state, {}, "brest-port").empty());
+    CHECK(!check_ordered_domain(run.state, {"rennes-nord"}, "brest-port").empty());
+    run(register_entry{"e1", {1, "addr", "brest-port", ""}});
+    run(expire_entry{{"e1", 1}});
+    CHECK(check_ordered_domain(run.state, {"rennes-nord"}, "brest-port").empty());
+    CHECK(!check_ordered_domain(run.state, {}, "saint-malo").empty());
+    run(evacuate_domain{"saint-malo"});
+    run(restore_domain{"saint-malo"});
+    CHECK(check_ordered_domain(run.state, {}, "saint-malo").empty());
+}
+
 TEST_CASE("every item is assigned and groups are distributed evenly", "[ownership]")
 {
     registry_fixture run;
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -87,7 +87,9 @@
     bool settled = false;
     /// The declared configuration, if it was requested.
     std::string document;
-    MSGPACK_DEFINE(id, settled, document)
+    /// Why the leader refused the command, of which nothing is kept; empty if it did not.
+    std::string refusal;
+    MSGPACK_DEFINE(id, settled, document, refusal)
 };
 
 /// A control member forwards an instance's deregistration; the leader removes the instance from
