Let operators order evacuations with balsamctl

balsamctl domain evacuate NAME and domain restore NAME are changes of the operator API; a domain that the leader does not know is refused (exit code 1).

--- a/apps/balsamctl.cpp
+++ b/apps/balsamctl.cpp
@@ -47,7 +47,10 @@
     "  group grant NAME CUSTOMER              let a customer reach a group\n"
     "  group revoke NAME CUSTOMER             take that back\n"
     "  preset set ordinary|peak|maintenance   switch the preset\n"
-    "  status                                 members, VMs, groups\n"
+    "  domain evacuate NAME                   send nothing more to the instances of a failure "
+    "domain\n"
+    "  domain restore NAME                    use its instances again\n"
+    "  status                                 members, VMs, groups, evacuated domains\n"
     "  configuration                          customers and keys\n"
     "  timeline [--since STAMP --html FILE]   events of all processes in one order\n\n"
     "Exit codes: 0 done, 1 refused (conflict or invalid), 64 wrong command line,\n"
@@ -120,6 +123,12 @@
     if (verb == "preset set" && words.size() == 3) {
         return {{"change", "switch_preset"}, {"preset", name}};
     }
+    if (verb == "domain evacuate" && words.size() == 3) {
+        return {{"change", "evacuate_domain"}, {"domain", name}};
+    }
+    if (verb == "domain restore" && words.size() == 3) {
+        return {{"change", "restore_domain"}, {"domain", name}};
+    }
     return nullptr;
 }
 
@@ -168,6 +177,9 @@
                 it.value("leader", "").c_str(), it["term"].dump().c_str(),
                 it["version"].dump().c_str(), it["preset"].get<std::string>().c_str(),
                 it["preset_switching"].get<bool>() ? " (switching)" : "");
+    for (const json& domain : it.value("evacuated_domains", json::array())) {
+        std::printf("  failure domain %s is evacuated\n", domain.get<std::string>().c_str());
+    }
     for (const json& member : it["members"]) {
         std::printf("  member %s at %s\n", member["name"].get<std::string>().c_str(),
                     member["address"].get<std::string>().c_str());
--- a/operators/change_json.cpp
+++ b/operators/change_json.cpp
@@ -106,6 +106,12 @@
     if (kind == "switch_preset") {
         return switch_preset{read_preset(in)};
     }
+    if (kind == "evacuate_domain") {
+        return evacuate_domain{in.text("domain")};
+    }
+    if (kind == "restore_domain") {
+        return restore_domain{in.text("domain")};
+    }
     return std::nullopt;
 }
 
--- a/operators/operator_api.cpp
+++ b/operators/operator_api.cpp
@@ -153,18 +153,20 @@
             groups.push_back(group_json(name, record, *it.state));
         }
     }
-    return json_response({{"member", it.name},
-                          {"leads", it.leads},
-                          {"leader", it.leader},
-                          {"term", it.term},
-                          {"commit_index", it.commit_index},
-                          {"registry_hash", it.state ? state_hash(*it.state) : 0},
-                          {"version", it.state ? it.state->version : 0},
-                          {"preset", it.state ? to_string(it.state->preset.in_force) : "ordinary"},
-                          {"preset_switching", it.state && it.state->preset.switching},
-                          {"members", members},
-                          {"entries", entries},
-                          {"groups", groups}});
+    return json_response(
+        {{"member", it.name},
+         {"leads", it.leads},
+         {"leader", it.leader},
+         {"term", it.term},
+         {"commit_index", it.commit_index},
+         {"registry_hash", it.state ? state_hash(*it.state) : 0},
+         {"version", it.state ? it.state->version : 0},
+         {"preset", it.state ? to_string(it.state->preset.in_force) : "ordinary"},
+         {"preset_switching", it.state && it.state->preset.switching},
+         {"evacuated_domains", it.state ? it.state->evacuated_domains : std::set<std::string>()},
+         {"members", members},
+         {"entries", entries},
+         {"groups", groups}});
 }
 
 http_response operator_api::configuration() const
--- a/rig/demo/main.cpp
+++ b/rig/demo/main.cpp
@@ -104,6 +104,16 @@
     steps.check(withdrawn.exit_code == 0 && refused_after.has_value(),
                 "the withdrawn key is refused on the open connection after " +
                     (refused_after ? std::to_string(refused_after->count()) : "?") + " ms");
+
+    const std::string domain = "lorient-ouest";
+    const auto evacuated = site.run_balsamctl({"domain", "evacuate", domain});
+    const auto status = site.run_balsamctl({"status"});
+    const auto restored = site.run_balsamctl({"domain", "restore", domain});
+    steps.check(evacuated.exit_code == 0 &&
+                    status.body["evacuated_domains"] == nlohmann::json::array({domain}) &&
+                    restored.exit_code == 0,
+                "balsamctl ordered the evacuation of " + domain +
+                    ", status listed it, and the order was withdrawn");
     const auto timeline = site.run_balsamctl({"timeline"});
     steps.check(timeline.exit_code == 0 && timeline.body.is_array() && timeline.body.size() > 10,
                 "balsamctl timeline merged " + std::to_string(timeline.body.size()) +
--- a/tests/site_test.cpp
+++ b/tests/site_test.cpp
@@ -255,6 +255,30 @@
     CHECK(fixture.site().run_balsamctl({"nonsense"}).exit_code == 64);
 }
 
+TEST_CASE(
+    "an operator's evacuation is listed until it is withdrawn, and an unknown domain is refused",
+    "[site]")
+{
+    site_fixture fixture;
+    auto& site = fixture.site();
+    const auto evacuated = [&] { return site.run_balsamctl({"status"}).body["evacuated_domains"]; };
+    CHECK(site.run_balsamctl({"domain", "evacuate", "nowhere"}).exit_code == 1);
+    CHECK(evacuated().empty());
+    CHECK(
+        site.run_balsamctl({"domain", "evacuate", "brest-port", "--operator_name=ann"}).exit_code ==
+        0);
+    CHECK(
+        site.run_balsamctl({"domain", "evacuate", "brest-port", "--operator_name=bob"}).exit_code ==
+        0);
+    CHECK(evacuated() == nlohmann::json::array({"brest-port"}));
+    CHECK(site.run_balsamctl({"domain", "restore", "brest-port"}).exit_code == 0);
+    CHECK(evacuated().empty());
+    const auto timeline = site.run_balsamctl({"timeline"}).body;
+    for (const char* name : {"domain_evacuated", "domain_restored"}) {
+        CHECK(timeline.dump().find(name) != std::string::npos);
+    }
+}
+
 TEST_CASE("a write with an idempotency key runs at most once when the owner dies", "[site]")
 {
     site_fixture fixture;
