Keep statements of entries out of evacuated failure domains

An evacuation order in the registry had no effect on entries. core/routing/evacuation decides from the order, its age, the primary record and the instances what may still start or continue in a domain; the session service applies it to new, waiting and pinned statements, and closes idle connections there.

The grace of 2.5 s also ends 4.5 s after the entry was last up to date without the order, so that one that learns late sends nothing after the 5 s of the order. An entry that restarts has no grace. Instructions that arrive with a newer registry apply the registry first, since they can release waiting statements.

--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -422,6 +422,10 @@
     session.pending->deadline = session.pending->arrived_at + transaction.route.statement_timeout;
     service_state& service = services_[transaction.route.service];
     if (transaction.connection != nullptr) {
+        if (!may_send(session, hooks_.now())) {
+            leave_connection(session);
+            return;
+        }
         const pooled_connection_ptr connection = transaction.connection;
         session.pending->dispatched_at = hooks_.now();
         set_up_connection(session, *connection);
@@ -438,6 +442,9 @@
 void session_service::run_in_failed_transaction(caller_session& session)
 {
     const bool commits = session.pending->request.kind == statement_kind::commit;
+    if (session.transaction && !may_send(session, hooks_.now())) {
+        abort_transaction(session);
+    }
     const pooled_connection_ptr connection =
         session.transaction ? session.transaction->connection : nullptr;
     if (connection != nullptr) {
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -10,6 +10,7 @@
 #include "core/queueing/admission.h"
 #include "core/rates/token_cache.h"
 #include "core/registry/registry.h"
+#include "core/routing/evacuation.h"
 #include "core/routing/placement.h"
 #include "fleet/entry_report.h"
 #include "pooling/caller_session.h"
@@ -58,6 +59,10 @@
     placement_options placement;
     admission_options admission;
     position_history_options positions;
+    evacuation_options evacuation;
+    /// When to come back after a refusal that lasts until an operator withdraws an order or changes
+    /// the configuration.
+    duration restricted_retry_after = seconds(1);
 };
 
 /// Functions that a session service calls.
@@ -173,6 +178,32 @@
                      const instance_pool& pool, time_point now) const;
     std::vector<placement_candidate> candidates(const caller_session& session,
                                                 const service_state& service, time_point now) const;
+    // Evacuated failure domains and home regions.
+    void update_evacuations(time_point now);
+    /// End of the grace of the evacuation of the instance's domain; nothing if it is not evacuated.
+    std::optional<time_point> evacuated_until(const instance_pool& pool) const;
+    bool is_in_home_region(const caller_session& session, const instance_pool& pool) const;
+    restricted_instance restricted(const caller_session& session, const service_state& service,
+                                   const instance_pool& pool) const;
+    restricted_statement restricted(const caller_session& session, const service_state& service,
+                                    time_point now) const;
+    /// True if a new statement or transaction of the session may be sent to the instance.
+    bool may_start(const caller_session& session, const service_state& service,
+                   const instance_pool& pool, time_point now) const;
+    /// True if the pending statement may be sent on the connection that the session's transaction
+    /// has.
+    bool may_send(const caller_session& session, time_point now) const;
+    /// Takes the connection, on which the pending statement may no longer be sent, from the
+    /// session. A statement that is the first one there goes elsewhere; otherwise the transaction
+    /// is aborted.
+    void leave_connection(caller_session& session);
+    /// Refuses the pending statement if no instance may run it. False if one may.
+    bool refuse_restricted(caller_session& session, const service_state& service);
+    /// Aborts idle transactions and refuses waiting statements that no instance may run any more.
+    void apply_restrictions(time_point now);
+    /// True if idle connections to the instance are of no use any more.
+    bool is_vacated(const service_state& service, const instance_pool& pool, time_point now) const;
+
     /// Number of connections that this VM may have to the instance.
     connection_budget budget_for(const instance_pool& pool) const;
     proximity distance_to(const instance_pool& pool) const;
@@ -273,6 +304,12 @@
     /// The instances in control's directory, by name.
     std::map<std::string, instance_heartbeat> directory_;
     std::uint32_t entry_count_ = 1;
+    /// End of the grace of each evacuated failure domain, by name.
+    std::map<std::string, time_point> evacuated_until_;
+    /// True if the configuration restricts a route or a customer to regions.
+    bool has_home_regions_ = false;
+    /// When, as of the last tick, the newest request that control has answered was sent.
+    time_point last_contact_{};
     /// When the last tick that found this VM to hold its lease took place.
     time_point lease_last_held_at_{};
     /// Deadlines and callbacks of callers that wait for the first configuration.
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -96,6 +96,10 @@
               purpose == answer_purpose::begin ? "begin refused" : "set-up refused");
         return;
     }
+    if (!may_send(session, hooks_.now())) {
+        leave_connection(session);
+        return;
+    }
     if (connection->expected_answers.empty()) {
         send_request(session, *connection);
     }
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -80,7 +80,8 @@
                                   const instance_pool& pool, time_point now) const
 {
     const std::string& name = pool.heartbeat.instance;
-    if (session.pending->excluded.contains(name) || now < pool.backoff_until) {
+    if (session.pending->excluded.contains(name) || now < pool.backoff_until ||
+        !may_start(session, service, pool, now)) {
         return false;
     }
     if (name == service.record.instance && may_use_primary(service, now)) {
@@ -182,6 +183,9 @@
 
 void session_service::enqueue(caller_session& session, service_state& service)
 {
+    if (refuse_restricted(session, service)) {
+        return;
+    }
     const time_point now = hooks_.now();
     pending_statement& pending = *session.pending;
     int usable_connections = 0;
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -39,6 +39,7 @@
     for (const auto& [name, limits] : registry_->declared.customers) {
         set_customer_limits(tokens_, name, {.rate = limits.rate, .burst = limits.burst});
     }
+    update_evacuations(hooks_.now());
     notify_configuration_waiters(hooks_.now());
     for (const auto& [name, record] : registry_->primaries) {
         service_state& service = services_[name];
@@ -57,6 +58,7 @@
         }
         serve_queue(service);
     }
+    apply_restrictions(hooks_.now());
 }
 
 void session_service::apply_primary_record(const std::string& name, service_state& service,
@@ -232,6 +234,11 @@
 
 void session_service::on_instructions(const entry_instructions& instructions)
 {
+    // The lease may have just been renewed. What follows must not run with an older configuration
+    // than the one that the lease requires.
+    if (hooks_.configuration()->index > registry_->index) {
+        on_configuration();
+    }
     if (instructions.entry_count > 0) {
         connection_shares_ = instructions.connections;
         entry_count_ = instructions.entry_count;
@@ -290,7 +297,8 @@
                     idle && now - connection->last_used_at > options_.idle_connection_timeout;
                 const bool leaving =
                     idle && pool.heartbeat.leaving && instance != service.record.instance;
-                if (unanswered || idle_too_long || leaving) {
+                const bool vacated = idle && is_vacated(service, pool, now);
+                if (unanswered || idle_too_long || leaving || vacated) {
                     unused.push_back(connection);
                 }
             }
@@ -325,6 +333,8 @@
             check_deadline(*session, now);
         }
     }
+    last_contact_ = hooks_.answered_request_sent_at();
+    apply_restrictions(now);
     notify_configuration_waiters(now);
     record_control_answer(tokens_, hooks_.answered_request_sent_at());
     apply_token_decisions(refuse_timed_out_callers(tokens_, options_.rates, now));
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -55,7 +55,8 @@
     session_service sessions;
 
     vm_fixture()
-        : sessions({.failure_domain = "brest-port"},
+        : sessions({.failure_domain = "brest-port",
+                    .regions = {{"brest-port", "ouest"}, {"rennes-nord", "est"}}},
                    {.now = [this] { return now; },
                     .open = [this](const connection_target& target,
                                    connection_events it) { return open(target, std::move(it)); },
@@ -291,6 +292,24 @@
         sessions.on_configuration();
     }
 
+    /// Puts orders to evacuate these domains in force, and no others.
+    void evacuate(const std::set<std::string>& domains)
+    {
+        state.evacuated_domains = domains;
+        ++state.index;
+        sessions.on_configuration();
+    }
+
+    /// Number of statements that the instance has received.
+    std::size_t received_count(const std::string& instance) const
+    {
+        std::size_t n = 0;
+        for (const auto& it : connections) {
+            n += it->target.instance == instance ? it->received.size() : 0;
+        }
+        return n;
+    }
+
     std::shared_ptr<bool> answered;
     statement_answer last_answer;
 };
@@ -840,3 +859,166 @@
     vm.advance_time(milliseconds(20));
     CHECK(is_success(vm.run(keyed, read_of("x"))));
 }
+
+TEST_CASE("an entry that holds an evacuation order sends no new read into the domain",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    const auto session = vm.open_session("bounded");
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    vm.instances["b"].position = vm.instances["a"].position;
+    vm.instances["c"].position = vm.instances["a"].position;
+    const auto read_twenty_times = [&] {
+        for (int n = 0; n < 20; ++n) {
+            CHECK(is_success(vm.run(session, read_of("x"))));
+        }
+        return vm.received_count("b");
+    };
+    const std::size_t before = read_twenty_times();
+    REQUIRE(before == 20);
+    vm.evacuate({"brest-port"});
+    CHECK(read_twenty_times() == before);
+    vm.advance_time(milliseconds(10));
+    // Idle connections there are closed.
+    CHECK(std::all_of(vm.connections.begin(), vm.connections.end(),
+                      [](const auto& it) { return it->closed || it->target.instance != "b"; }));
+    vm.evacuate({});
+    CHECK(read_twenty_times() == before + 20);
+}
+
+TEST_CASE("a statement that is being set up when the order arrives is not sent into the domain",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    CHECK(is_success(vm.run(vm.open_session("strict"), write_of("x"))));
+    vm.instances["b"].position = vm.instances["a"].position;
+    vm.instances["c"].position = vm.instances["a"].position;
+    vm.evacuate({"brest-port"});
+    const auto session = vm.open_session("bounded");
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::set_value, .name = "v"})));
+    vm.submit(session, read_of("x"));
+    vm.evacuate({"rennes-nord"});
+    vm.advance_time(milliseconds(100));
+    REQUIRE(*vm.answered);
+    CHECK(is_success(vm.last_answer));
+    CHECK(vm.instances["b"].reads == 1);
+    CHECK(vm.instances["c"].reads == 0);
+}
+
+TEST_CASE("a statement that waits is not dispatched into an evacuated domain but refused",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    vm.advance_time(milliseconds(100));
+    const auto session = vm.open_session("strict");
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    vm.evacuate({"rennes-nord"});
+    vm.advance_time(milliseconds(2400));
+    const std::size_t before = vm.received_count("a");
+    vm.lease = false;
+    vm.submit(session, write_of("y"));
+    vm.deliver_events();
+    CHECK_FALSE(*vm.answered);
+    vm.advance_time(milliseconds(90));
+    CHECK_FALSE(*vm.answered);
+    vm.now += milliseconds(10);
+    vm.lease = true;
+    vm.sessions.tick();
+    REQUIRE(*vm.answered);
+    const auto* const error = std::get_if<statement_error>(&vm.last_answer.result);
+    REQUIRE(error != nullptr);
+    CHECK(error->text == "retry-after-ms=300 evacuated");
+    vm.advance_time(milliseconds(100));
+    CHECK(vm.received_count("a") == before);
+}
+
+TEST_CASE("an open transaction in an evacuated domain ends with the grace and sends nothing more",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    vm.advance_time(milliseconds(100));
+    const auto begin = [&](std::uint64_t session) {
+        CHECK(is_success(vm.run(session, {.kind = statement_kind::begin})));
+        CHECK(is_success(vm.run(session, write_of("x"))));
+    };
+    const auto idle = vm.open_session("strict");
+    const auto active = vm.open_session("strict");
+    const auto failed = vm.open_session("strict");
+    begin(idle);
+    begin(active);
+    begin(failed);
+    vm.evacuate({"rennes-nord"});
+    vm.advance_time(milliseconds(2400));
+    CHECK(is_success(vm.run(active, read_of("x"))));
+    vm.instances["a"].busy_refusals = 1;
+    CHECK_FALSE(is_success(vm.run(failed, read_of("x"))));
+    const std::size_t before = vm.received_count("a");
+    // No tick takes place between the end of the grace and these statements.
+    vm.now += milliseconds(200);
+    CHECK(error_code_of(vm.run(active, {.kind = statement_kind::commit})) ==
+          statement_error_code::aborted);
+    CHECK(is_success(vm.run(failed, {.kind = statement_kind::rollback})));
+    vm.advance_time(milliseconds(100));
+    CHECK(error_code_of(vm.run(idle, write_of("x"))) == statement_error_code::aborted);
+    CHECK(vm.received_count("a") == before);
+    CHECK(std::all_of(vm.connections.begin(), vm.connections.end(),
+                      [](const auto& it) { return it->closed || it->target.instance != "a"; }));
+}
+
+TEST_CASE("without a replica elsewhere what needs an evacuated primary is refused with the reason",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    vm.advance_time(milliseconds(100));
+    const auto session = vm.open_session("strict");
+    vm.evacuate({"rennes-nord", "brest-port"});
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    vm.advance_time(milliseconds(2500));
+    const std::size_t before = vm.received_count("a");
+    vm.submit(session, write_of("y"));
+    REQUIRE(*vm.answered);
+    const auto* const error = std::get_if<statement_error>(&vm.last_answer.result);
+    REQUIRE(error != nullptr);
+    CHECK(error->code == statement_error_code::busy);
+    CHECK(error->text == "retry-after-ms=1000 evacuated");
+    CHECK(vm.received_count("a") == before);
+}
+
+TEST_CASE("a primary that was promoted away from an evacuated domain gets nothing more",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    vm.state.declared.routes["bounded"].statement_timeout = seconds(5);
+    vm.sessions.on_configuration();
+    vm.advance_time(milliseconds(100));
+    const auto session = vm.open_session("bounded");
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    vm.evacuate({"rennes-nord"});
+    vm.change_primary(
+        {.instance = "a", .phase = primary_phase::suspended, .planned = true, .epoch = 20});
+    vm.submit(session, write_of("y"));
+    vm.deliver_events();
+    CHECK_FALSE(*vm.answered);
+    const std::size_t before = vm.received_count("a");
+    vm.instances["b"].primary = true;
+    vm.change_primary({.instance = "b", .epoch = 21, .generation = 1});
+    vm.advance_time(milliseconds(100));
+    CHECK(*vm.answered);
+    CHECK(is_success(vm.last_answer));
+    for (int n = 0; n < 20; ++n) {
+        CHECK(is_success(vm.run(session, read_of("x"))));
+    }
+    CHECK(vm.received_count("a") == before);
+}
+
+TEST_CASE("an entry that starts with the order in force sends nothing to the primary there",
+          "[sessions][evacuation]")
+{
+    vm_fixture vm;
+    // The fixture's entry has not had an answer from control before its first configuration.
+    vm.evacuate({"rennes-nord"});
+    vm.submit(vm.open_session("strict"), write_of("x"));
+    CHECK(*vm.answered);
+    CHECK(error_code_of(vm.last_answer) == statement_error_code::busy);
+    CHECK(vm.connections.empty());
+}
