Serve routes and customers only in their allowed regions

A read that only replicas at home may run needs the primary's position, which its own statements no longer bring. While such a read waits, the entry opens a connection to the primary, whose greeting tells the position, at most every 200 ms.

--- a/pooling/service_state.h
+++ b/pooling/service_state.h
@@ -30,6 +30,8 @@
     /// Epoch of the newest primary record for which no work of an earlier record remains on this
     /// VM.
     std::uint64_t settled_epoch = 0;
+    /// When a connection to the primary was last opened only to learn its position.
+    time_point position_asked_at{};
 };
 
 /// The service and the pool that a connection belongs to; both null if its instance is no longer
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -63,6 +63,8 @@
     /// When to come back after a refusal that lasts until an operator withdraws an order or changes
     /// the configuration.
     duration restricted_retry_after = seconds(1);
+    /// Least time between two connections that are opened to learn a primary's position.
+    duration position_ask_interval = milliseconds(200);
 };
 
 /// Functions that a session service calls.
@@ -198,7 +200,10 @@
     /// is aborted.
     void leave_connection(caller_session& session);
     /// Refuses the pending statement if no instance may run it. False if one may.
-    bool refuse_restricted(caller_session& session, const service_state& service);
+    bool refuse_restricted(caller_session& session, service_state& service);
+    /// Opens a connection to the primary, whose greeting tells its position, for a waiting read
+    /// that may run on replicas only and lacks that position.
+    void ask_for_position(const caller_session& session, service_state& service, time_point now);
     /// Aborts idle transactions and refuses waiting statements that no instance may run any more.
     void apply_restrictions(time_point now);
     /// True if idle connections to the instance are of no use any more.
--- a/pooling/session_service_domains.cpp
+++ b/pooling/session_service_domains.cpp
@@ -69,8 +69,11 @@
 restricted_statement session_service::restricted(const caller_session& session,
                                                  const service_state& service, time_point now) const
 {
-    restricted_statement out{.needs_primary =
-                                 needs_primary(session) || !min_position_for(session, service, now),
+    // A read waits for the primary's position, unless the primary can no longer be asked for it.
+    const auto primary = service.pools.find(service.record.instance);
+    const bool is_askable = primary != service.pools.end() && !evacuated_until(primary->second);
+    const bool lacks_position = !is_askable && !min_position_for(session, service, now);
+    restricted_statement out{.needs_primary = needs_primary(session) || lacks_position,
                              .phase = service.record.phase};
     for (const auto& [name, pool] : service.pools) {
         out.instances.push_back(restricted(session, service, pool));
@@ -125,7 +128,33 @@
     retry(session, connection->instance, "the instance may no longer be used");
 }
 
-bool session_service::refuse_restricted(caller_session& session, const service_state& service)
+void session_service::ask_for_position(const caller_session& session, service_state& service,
+                                       time_point now)
+{
+    const auto found = service.pools.find(service.record.instance);
+    const bool is_due = now - service.position_asked_at >= options_.position_ask_interval;
+    if (!is_due || found == service.pools.end() || needs_primary(session) ||
+        min_position_for(session, service, now) || !may_use_primary(service, now)) {
+        return;
+    }
+    instance_pool& primary = found->second;
+    const connection_budget budget = budget_for(primary);
+    const std::string& customer = customer_of(session);
+    if (is_in_home_region(session, primary) || is_vacated(service, primary, now) ||
+        now < primary.backoff_until ||
+        availability_of(primary, customer, session.values, budget, now) ==
+            connection_availability::none) {
+        return;
+    }
+    service.position_asked_at = now;
+    close_connection(find_fitting_connection(primary, customer, session.values, {}));
+    if (static_cast<int>(primary.connections.size()) >= budget.kept) {
+        close_connection(find_replaceable_connection(primary));
+    }
+    (void)open_connection(primary, customer);
+}
+
+bool session_service::refuse_restricted(caller_session& session, service_state& service)
 {
     if (evacuated_until_.empty() && !has_home_regions_) {
         return false;
@@ -134,6 +163,7 @@
     const restricted_statement it = restricted(session, service, now);
     const auto reason = find_restriction(it, now);
     if (!reason) {
+        ask_for_position(session, service, now);
         return false;
     }
     // Control replaces a primary in an evacuated domain if there is a replica elsewhere.
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -1022,3 +1022,69 @@
     CHECK(error_code_of(vm.last_answer) == statement_error_code::busy);
     CHECK(vm.connections.empty());
 }
+
+TEST_CASE("a route with home regions is not served outside them, and refused if none can serve",
+          "[sessions][regions]")
+{
+    vm_fixture vm;
+    vm.instances["b"].position = {1, 200};
+    vm.instances["c"].position = {1, 200};
+    const auto restrict_to = [&](std::set<std::string> route, std::set<std::string> customer) {
+        vm.state.declared.routes["bounded"].allowed_regions = std::move(route);
+        vm.state.declared.customers["agence"].allowed_regions = std::move(customer);
+        vm.sessions.on_configuration();
+    };
+    const auto session = vm.open_session("bounded");
+    restrict_to({"est"}, {});
+    for (int n = 0; n < 20; ++n) {
+        CHECK(is_success(vm.run(session, read_of("x"))));
+    }
+    CHECK(vm.received_count("b") == 0);
+    // Both lists apply, to the primary as well.
+    restrict_to({"ouest", "est"}, {"ouest"});
+    const std::size_t before = vm.received_count("a") + vm.received_count("c");
+    for (int n = 0; n < 20; ++n) {
+        CHECK(is_success(vm.run(session, read_of("x"))));
+    }
+    vm.submit(session, write_of("x"));
+    REQUIRE(*vm.answered);
+    const auto* const error = std::get_if<statement_error>(&vm.last_answer.result);
+    REQUIRE(error != nullptr);
+    CHECK(error->code == statement_error_code::busy);
+    CHECK(error->text == "retry-after-ms=1000 home_region");
+    restrict_to({"ouest"}, {"est"});
+    vm.submit(session, read_of("x"));
+    REQUIRE(*vm.answered);
+    CHECK(error_code_of(vm.last_answer) == statement_error_code::busy);
+    CHECK(vm.received_count("a") + vm.received_count("c") == before);
+}
+
+TEST_CASE("a read at home is served although the primary and its position are elsewhere",
+          "[sessions][regions]")
+{
+    vm_fixture vm;
+    vm.state.declared.routes["bounded"].allowed_regions = {"ouest"};
+    vm.sessions.on_configuration();
+    const auto session = vm.open_session("bounded");
+    for (int n = 0; n < 5; ++n) {
+        CHECK(is_success(vm.run(session, read_of("x"))));
+        vm.advance_time(seconds(2));
+    }
+    CHECK(vm.instances["b"].reads == 5);
+    CHECK(vm.received_count("a") == 0);
+}
+
+TEST_CASE("a transaction is not continued on an instance outside regions that were set meanwhile",
+          "[sessions][regions]")
+{
+    vm_fixture vm;
+    const auto session = vm.open_session("strict");
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::begin})));
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    const std::size_t before = vm.received_count("a");
+    vm.state.declared.customers["agence"].allowed_regions = {"ouest"};
+    vm.sessions.on_configuration();
+    CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+          statement_error_code::aborted);
+    CHECK(vm.received_count("a") == before);
+}
