Limit what all entries together start on a cold instance

An instance that has just started was the least loaded one of its service for every entry at once. warmupPerS of services and warmupLeftMs of heartbeats are read now. The control leader divides the limit in whole statements by demand and moves a part only once the entry has confirmed the smaller one, or its validity is over, and a second has passed; entries count their starts in a sliding window. The directory changes only when an instance becomes cold or warm.

A planned change of primary passes over cold replicas if there is a warm one; after a loss a warm one is preferred only if it has received as much.

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -17,6 +17,7 @@
 
 /// Larger values are refused as mistakes.
 constexpr double max_rate_slack = 10000;
+constexpr double max_warmup_overage = 1000;
 constexpr std::int64_t kibibyte = 1024;
 constexpr std::int64_t mebibyte = kibibyte * kibibyte;
 constexpr std::int64_t max_body_bytes = 64 * mebibyte;
@@ -108,6 +109,15 @@
     return rates;
 }
 
+warmup_options read_warmup(settings_reader in)
+{
+    warmup_options warmup;
+    warmup.overage = in.real("overage", warmup.overage, 0, max_warmup_overage);
+    warmup.slack = in.real("slack", warmup.slack, 0, max_rate_slack);
+    (void)in.finish();
+    return warmup;
+}
+
 coordination_settings read_coordination(settings_reader in, control_options& control,
                                         const endpoint& fleet_listen)
 {
@@ -120,6 +130,9 @@
     if (in.has("rates")) {
         control.rates = read_rates(in.section("rates"));
     }
+    if (in.has("warmup")) {
+        control.warmup = read_warmup(in.section("warmup"));
+    }
     control.assigns_owners = false;
     for (const std::string& it : fleet_addresses(in.addresses("seed_hosts"), fleet_listen)) {
         control.members.push_back({{}, it});
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "core/consensus/membership.h"
 #include "core/rates/token_pool.h"
+#include "core/rates/warmup_allocation.h"
 
 namespace balsamdrift {
 
@@ -29,6 +30,8 @@
     std::size_t disks_lost_at_once = 0;
     /// How far customers may exceed their rate limits, and over which window.
     token_pool_options rates;
+    /// How far the warm-up rates of services may be used.
+    warmup_options warmup;
     /// Whether this member may form a new group. False when the settings say that other members
     /// already hold data.
     bool may_form = true;
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -78,7 +78,7 @@
                                  const failover_requests& requests)
     : options_(std::move(options)),
       fleet_(fleet),
-      coordinator_(requests, options_.rates,
+      coordinator_(requests, options_.rates, options_.warmup,
                    [this](const registry_command& it) { propose_internal(it); }),
       coordinates_services_(requests.promote != nullptr)
 {
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -17,8 +17,11 @@
 }  // namespace
 
 service_coordinator::service_coordinator(failover_requests requests, token_pool_options rates,
-                                         proposer propose)
-    : requests_(std::move(requests)), propose_(std::move(propose)), rate_options_(rates)
+                                         warmup_options warmup, proposer propose)
+    : requests_(std::move(requests)),
+      propose_(std::move(propose)),
+      rate_options_(rates),
+      warmup_options_(warmup)
 {
 }
 
@@ -30,6 +33,7 @@
     divided_connections_.clear();
     divided_directory_version_ = 0;
     tokens_ = {.customers = {}, .leading_since = now};
+    warmup_ = {.leading_since = now, .term = term};
     term_ = term;
 }
 
@@ -111,6 +115,19 @@
     }
 }
 
+std::map<std::string, int> service_coordinator::warmup_limits(const registry& state) const
+{
+    std::map<std::string, int> limits;
+    for (const auto& [name, it] : directory_.instances) {
+        const auto service = state.declared.services.find(it.last_heartbeat.service);
+        if (is_cold(it.last_heartbeat) && service != state.declared.services.end() &&
+            service->second.warmup_rate > 0) {
+            limits[name] = warmup_limit(service->second.warmup_rate, warmup_options_);
+        }
+    }
+    return limits;
+}
+
 entry_instructions service_coordinator::make_instructions(const coordinator_view& view,
                                                           const replica_id& entry,
                                                           const entry_report& report,
@@ -134,6 +151,9 @@
     instructions.connections =
         grant_shares(connection_shares_, {.reserved_fraction = 0}, entry.name, entry.incarnation,
                      report.connections, divided_connections_, entry_count, now);
+    instructions.warmup =
+        grant_warmup(warmup_, warmup_options_, entry.name, entry.incarnation, report.warmup,
+                     warmup_limits(view.state), view.lease_duration, now);
     fill_directory(instructions, report.directory_version);
     return instructions;
 }
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -11,6 +11,7 @@
 #include "core/rates/connection_budget.h"
 #include "core/rates/share_allocation.h"
 #include "core/rates/token_pool.h"
+#include "core/rates/warmup_allocation.h"
 #include "core/registry/registry.h"
 #include "fleet/lease_message.h"
 
@@ -35,7 +36,8 @@
     /// Proposes a command to the control log.
     using proposer = std::function<void(const registry_command&)>;
 
-    service_coordinator(failover_requests requests, token_pool_options rates, proposer propose);
+    service_coordinator(failover_requests requests, token_pool_options rates, warmup_options warmup,
+                        proposer propose);
 
     /// Clears all state. Called when this member starts or stops leading.
     void reset(time_point now, std::uint64_t term);
@@ -77,6 +79,8 @@
                  const primary_record& record, const primary_action& action);
     /// Lists the connections to divide again if the directory or the configuration has changed.
     void update_divided_connections(const registry& state);
+    /// Statements per second that all entries together may start on each cold instance.
+    std::map<std::string, int> warmup_limits(const registry& state) const;
     /// Newest heartbeat of an instance; null if it is not in the directory.
     const instance_heartbeat* find_instance(const std::string& instance) const;
 
@@ -92,6 +96,8 @@
     std::map<std::string, divided_resource> divided_connections_;
     std::uint64_t divided_directory_version_ = 0;
     std::uint64_t divided_configuration_version_ = 0;
+    warmup_options warmup_options_;
+    warmup_table warmup_;
     std::uint64_t term_ = 0;
 };
 
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -1,6 +1,7 @@
 #include "core/failover/primary_change.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace balsamdrift {
 namespace {
@@ -80,6 +81,13 @@
     if (staying.empty() && leaving.empty() && view.record.phase == primary_phase::suspended) {
         return recorded;
     }
+    if (view.record.planned) {
+        // The successor of a running primary has time to catch up, so it need not be a cold one.
+        const auto is_warm = [](const known_instance* it) { return !is_cold(it->last_heartbeat); };
+        if (std::any_of(staying.begin(), staying.end(), is_warm)) {
+            std::erase_if(staying, std::not_fn(is_warm));
+        }
+    }
     return staying.empty() ? leaving : staying;
 }
 
@@ -171,7 +179,8 @@
     fence_stale_primaries(state, out, view, options, now);
 }
 
-/// The replica with the newest received position among those that answered, or null.
+/// The replica with the newest received position among those that answered, a warm one if there is
+/// a choice, or null.
 const known_instance* most_advanced_replica(const primary_change_state& state,
                                             const std::vector<const known_instance*>& replicas)
 {
@@ -182,7 +191,10 @@
         if (answer == state.status_answers.end()) {
             continue;
         }
-        if (best == nullptr || answer->second.received > most_received) {
+        const bool is_warmer = best != nullptr && is_cold(best->last_heartbeat) &&
+                               !is_cold(it->last_heartbeat) &&
+                               answer->second.received == most_received;
+        if (best == nullptr || answer->second.received > most_received || is_warmer) {
             best = it;
             most_received = answer->second.received;
         }
--- a/core/instances/instance_directory.cpp
+++ b/core/instances/instance_directory.cpp
@@ -17,7 +17,8 @@
 {
     return a.service != b.service || a.address != b.address ||
            a.reports_primary != b.reports_primary || a.leaving != b.leaving ||
-           a.born_ms != b.born_ms || a.failure_domain != b.failure_domain || a.slots != b.slots;
+           a.born_ms != b.born_ms || a.failure_domain != b.failure_domain || a.slots != b.slots ||
+           is_cold(a) != is_cold(b);
 }
 
 /// True when another instance that started later uses the same address.
--- a/core/instances/instance_directory.h
+++ b/core/instances/instance_directory.h
@@ -29,12 +29,17 @@
     std::int64_t born_ms = 0;
     /// Increases with each heartbeat of an incarnation.
     std::int64_t sequence = 0;
+    /// Milliseconds until the instance is warm; zero for a warm one.
+    std::int64_t warmup_left_ms = 0;
 
     bool operator==(const instance_heartbeat&) const = default;
     MSGPACK_DEFINE(instance, service, address, failure_domain, reports_primary, leaving, slots,
-                   born_ms, sequence)
+                   born_ms, sequence, warmup_left_ms)
 };
 
+/// True while the instance warms up and takes fewer statements.
+inline bool is_cold(const instance_heartbeat& it) { return it.warmup_left_ms > 0; }
+
 /// The newest heartbeat of an instance, and when it arrived.
 struct known_instance {
     instance_heartbeat last_heartbeat;
--- a/core/tests/instance_directory_test.cpp
+++ b/core/tests/instance_directory_test.cpp
@@ -112,3 +112,22 @@
         }
     });
 }
+
+TEST_CASE("a warming instance is sent to entries when it becomes cold or warm, not each time",
+          "[directory]")
+{
+    instance_directory directory;
+    instance_heartbeat it = heartbeat("a", "10.0.0.1:1", 100, 1);
+    const auto version_after = [&](std::int64_t warmup_left_ms) {
+        ++it.sequence;
+        it.warmup_left_ms = warmup_left_ms;
+        (void)record_heartbeat(directory, it, start);
+        return directory.version;
+    };
+    const std::uint64_t cold = version_after(4000);
+    CHECK(version_after(3000) == cold);
+    CHECK(version_after(10) == cold);
+    CHECK(version_after(0) == cold + 1);
+    CHECK(version_after(0) == cold + 1);
+    CHECK(version_after(5000) == cold + 2);
+}
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "base/outcome.h"
 
@@ -30,13 +31,16 @@
     std::vector<primary_phase> phases;
     /// True while instance a announces that it is leaving.
     bool primary_leaving = false;
+    /// Instances that warm up.
+    std::set<std::string> cold;
 
     void receive_heartbeat(const std::string& name)
     {
         known_instance it{.last_heartbeat = {.instance = name,
                                              .service = "registre",
                                              .reports_primary = statuses[name].is_primary,
-                                             .leaving = primary_leaving && name == "a"},
+                                             .leaving = primary_leaving && name == "a",
+                                             .warmup_left_ms = cold.contains(name) ? 5000 : 0},
                           .last_heartbeat_at = now};
         std::erase_if(view.instances, [&](const known_instance& other) {
             return other.last_heartbeat.instance == name;
@@ -282,6 +286,46 @@
     CHECK(it.view.record.phase == primary_phase::serving);
 }
 
+TEST_CASE("a cold replica succeeds a primary only if no other has all commits", "[primary]")
+{
+    service_fixture it;
+    it.cold = {"c"};
+    it.run(seconds(3));
+    SECTION("in a planned change the warm one catches up")
+    {
+        it.primary_leaving = true;
+        it.statuses["c"].received = {1, 100};
+        it.run(milliseconds(1200));
+        CHECK(it.promoted.empty());
+        it.statuses["b"].received = {1, 100};
+        it.run(seconds(4));
+        CHECK(it.view.record.instance == "b");
+    }
+    SECTION("after a loss the warm one is chosen if it has as much")
+    {
+        it.statuses["b"].received = it.statuses["c"].received;
+        it.up["a"] = false;
+        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.run(seconds(4));
+        CHECK(it.view.record.instance == "b");
+    }
+    SECTION("after a loss no commit is given up for a warm one")
+    {
+        it.up["a"] = false;
+        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.run(seconds(4));
+        CHECK(it.view.record.instance == "c");
+    }
+    SECTION("a cold one is used if there is no other")
+    {
+        it.cold = {"b", "c"};
+        it.run(seconds(1));
+        it.primary_leaving = true;
+        it.run(seconds(5));
+        CHECK(it.view.record.instance == "c");
+    }
+}
+
 TEST_CASE("a replaced primary that returns is asked to step down", "[primary]")
 {
     service_fixture it;
--- a/fleet/entry_report.h
+++ b/fleet/entry_report.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "core/instances/instance_directory.h"
 #include "core/rates/share_allocation.h"
+#include "core/rates/warmup_allocation.h"
 
 namespace balsamdrift {
 
@@ -36,7 +37,9 @@
     /// True when control has not answered recently: the entry then admits operations only within
     /// its own share of each customer's rate.
     bool isolated = false;
-    MSGPACK_DEFINE(settled_index, primaries, connections, directory_version, isolated)
+    /// Demand for cold instances, and the allocation of their limits that the entry uses.
+    warmup_request warmup;
+    MSGPACK_DEFINE(settled_index, primaries, connections, directory_version, isolated, warmup)
 };
 
 /// The upper bits of a directory version are the leader's term, so that versions of different
@@ -61,8 +64,10 @@
     std::uint64_t directory_base = 0;
     /// Instances that were removed since `directory_base`.
     std::vector<std::string> removed;
+    /// What the entry may start on cold instances.
+    warmup_grant warmup;
     MSGPACK_DEFINE(control, entry_count, connections, directory_version, has_directory, instances,
-                   directory_base, removed)
+                   directory_base, removed, warmup)
 };
 
 }  // namespace balsamdrift
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -71,6 +72,8 @@
     time_point last_failed_at{};
     /// When this VM learned that the instance is leaving.
     time_point leaving_since{};
+    /// When statements and transactions were started on it in the last second while it was cold.
+    std::deque<time_point> cold_starts;
     /// Since when control's directory lacks the instance; the clock's epoch while it is listed.
     time_point missing_since{};
 };
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -209,6 +209,16 @@
     /// True if idle connections to the instance are of no use any more.
     bool is_vacated(const service_state& service, const instance_pool& pool, time_point now) const;
 
+    // Cold instances.
+    /// True if all entries together may start only a limited number of statements on the instance.
+    bool is_warmup_limited(const instance_pool& pool) const;
+    /// True if this VM may start a statement on the instance now, as far as it is cold.
+    bool has_warmup_room(const instance_pool& pool, time_point now) const;
+    void record_cold_start(instance_pool& pool, time_point now) const;
+    void apply_warmup_grant(const warmup_grant& grant);
+    /// This VM's demand for cold instances.
+    warmup_request warmup_demand() const;
+
     /// Number of connections that this VM may have to the instance.
     connection_budget budget_for(const instance_pool& pool) const;
     proximity distance_to(const instance_pool& pool) const;
@@ -309,6 +319,9 @@
     /// The instances in control's directory, by name.
     std::map<std::string, instance_heartbeat> directory_;
     std::uint32_t entry_count_ = 1;
+    /// What this VM may start on cold instances, and until when.
+    warmup_grant warmup_;
+    time_point warmup_valid_until_{};
     /// End of the grace of each evacuated failure domain, by name.
     std::map<std::string, time_point> evacuated_until_;
     /// True if the configuration restricts a route or a customer to regions.
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -81,7 +81,7 @@
 {
     const std::string& name = pool.heartbeat.instance;
     if (session.pending->excluded.contains(name) || now < pool.backoff_until ||
-        !may_start(session, service, pool, now)) {
+        !may_start(session, service, pool, now) || !has_warmup_room(pool, now)) {
         return false;
     }
     if (name == service.record.instance && may_use_primary(service, now)) {
@@ -346,6 +346,7 @@
         pool.heartbeat.instance == service.record.instance && may_use_primary(service, now);
     ++pending.attempts;
     ++pool.dispatch_count;
+    record_cold_start(pool, now);
     pending.dispatched_at = now;
     pending.request_sent = false;
     // A primary that is used under a lease has every acknowledged commit.
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -234,6 +234,7 @@
 
 void session_service::on_instructions(const entry_instructions& instructions)
 {
+    apply_warmup_grant(instructions.warmup);
     // The lease may have just been renewed. What follows must not run with an older configuration
     // than the one that the lease requires.
     if (hooks_.configuration()->index > registry_->index) {
@@ -377,6 +378,7 @@
     out.connections = {.demand = connection_demand_,
                        .held = connection_shares_,
                        .measured = !connection_demand_.empty()};
+    out.warmup = warmup_demand();
     std::erase_if(out.connections.demand,
                   [](const auto& it) { return it.second < min_reported_demand; });
     for (const auto& [name, service] : services_) {
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -1088,3 +1088,59 @@
           statement_error_code::aborted);
     CHECK(vm.received_count("a") == before);
 }
+
+TEST_CASE("a cold instance gets no more than the entry's allocation in any second",
+          "[sessions][warmup]")
+{
+    vm_fixture vm;
+    vm.state.declared.services["registre"].warmup_rate = 10;
+    vm.instances["b"].position = {1, 200};
+    vm.instances["c"].position = {1, 200};
+    vm.sessions.on_configuration();
+    CHECK(is_success(vm.run(vm.open_session("strict"), read_of("x"))));
+    std::uint64_t version = 1;
+    const auto instruct = [&](std::int64_t warmup_left_ms, const warmup_grant& grant) {
+        std::vector<instance_heartbeat> all = vm.directory();
+        all[1].warmup_left_ms = warmup_left_ms;
+        vm.sessions.on_instructions({.entry_count = 1,
+                                     .directory_version = ++version,
+                                     .has_directory = true,
+                                     .instances = all,
+                                     .warmup = grant});
+    };
+    const auto session = vm.open_session("bounded");
+    const auto reads_of_b = [&] {
+        const int before = vm.instances["b"].reads;
+        for (int n = 0; n < 20; ++n) {
+            CHECK(is_success(vm.run(session, read_of("x"))));
+        }
+        return vm.instances["b"].reads - before;
+    };
+    // Without an allocation it gets nothing, and the others serve.
+    instruct(4000, {});
+    CHECK(reads_of_b() == 0);
+    vm.advance_time(seconds(1));
+    CHECK(vm.sessions.report().warmup.demand.contains("b"));
+    const warmup_grant three{.per_second = {{"b", 3}}, .number = 5, .valid_ms = 3000};
+    instruct(3900, three);
+    CHECK(reads_of_b() == 3);
+    vm.advance_time(milliseconds(900));
+    CHECK(reads_of_b() == 0);
+    vm.advance_time(milliseconds(200));
+    CHECK(reads_of_b() == 3);
+    // An earlier grant that arrives late changes nothing.
+    instruct(2800, {.per_second = {{"b", 20}}, .number = 4, .valid_ms = 3000});
+    vm.advance_time(milliseconds(1100));
+    CHECK(reads_of_b() == 3);
+    vm.advance_time(milliseconds(1100));
+    CHECK(is_success(vm.run(vm.open_session("strict"), read_of("x"))));
+    vm.lease = false;
+    CHECK(reads_of_b() == 0);
+    vm.lease = true;
+    // Without answers of control the grant runs out.
+    vm.control_answers = false;
+    vm.advance_time(milliseconds(200));
+    CHECK(reads_of_b() == 0);
+    instruct(0, three);
+    CHECK(reads_of_b() == 20);
+}
