Send lease renewals and grants as differences

Every entry sent its whole record and report twice a second, and got the list of control members and all its shares back. Once the leader has confirmed a numbered report, the entry sends a lease_renewal: the numbers, the names that are new, and the demand and shares that changed. The grant states the changes of the shares that the report held, and names the control members only if the entry's list differs. A leader without the base refuses the renewal, and the entry sends a full lease_request; any doubt (no answer, another leader, a relay) also leads to a full one. Leaders of earlier builds confirm no report, so they never receive a renewal.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -215,6 +215,7 @@
                 leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
                 coordinator_.reset(leases_.leading_since, it.term);
                 transfers_.clear();
+                reports_.clear();
                 if (!it.leads) {
                     fail_proposals();
                 }
@@ -403,7 +404,7 @@
 }
 
 void control_service::process_lease_request(const lease_request& it, const std::string& sender,
-                                            const std::string& origin)
+                                            const std::string& origin, const lease_renewal* renewal)
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
@@ -452,6 +453,9 @@
         grant.instructions =
             coordinator_.make_instructions(make_coordinator_view(), id, it.report, now);
         grant.instructions.control = member_addresses();
+        if (origin.empty()) {
+            shorten_grant(grant, it, renewal);
+        }
     }
     send_grant(sender, origin, grant);
 }
@@ -553,6 +557,7 @@
 void control_service::handle(const lease_release& it, const std::string&)
 {
     leases_.leases.erase(it.entry);
+    reports_.erase(it.entry.incarnation);
     coordinator_.release_entry(it.entry.name);
     propose_internal(expire_entry{it.entry});
 }
@@ -776,6 +781,7 @@
          expired_entries(leases_, registered_entries(), options_.lease_duration, now)) {
         log_event(event_id::entry_expired, {{"entry", it.name}});
         leases_.leases.erase(it);
+        reports_.erase(it.incarnation);
         propose_internal(expire_entry{it});
     }
 }
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -18,6 +18,7 @@
 #include "core/registry/registry.h"
 #include "fleet/fleet_node.h"
 #include "fleet/lease_message.h"
+#include "fleet/report_exchange.h"
 
 namespace balsamdrift {
 
@@ -162,9 +163,15 @@
     void handle(const relayed_lease_grant& it, const std::string& sender);
     void handle(const rate_token_request& it, const std::string& sender);
     void handle(const rate_token_grant& it, const std::string& sender);
+    void handle(const lease_renewal& it, const std::string& sender);
+    void handle(const renewal_refused& it, const std::string& sender);
+    /// Confirms the report of the request. In answer to a renewal, replaces the shares by their
+    /// changes, and removes the list of control members if the entry has it.
+    void shorten_grant(lease_grant& grant, const lease_request& it, const lease_renewal* renewal);
     /// `origin` is the requesting entry's address if `sender` forwards for it, otherwise empty.
+    /// `renewal` is the renewal that the request was made of; null if it was received in full.
     void process_lease_request(const lease_request& it, const std::string& sender,
-                               const std::string& origin);
+                               const std::string& origin, const lease_renewal* renewal = nullptr);
     void send_grant(const std::string& address, const std::string& origin,
                     const lease_grant& grant);
     void send_message(const std::string& address, const lease_message& message);
@@ -214,6 +221,8 @@
     /// Sum of the sizes of the data in `recent_log_`.
     std::size_t recent_log_bytes_ = 0;
     lease_table leases_;
+    /// Reports that entries' renewals refer to. Filled while this member leads.
+    report_table reports_;
     service_coordinator coordinator_;
     /// True if services are coordinated here while this member leads.
     bool coordinates_services_ = false;
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -100,6 +100,12 @@
     if (options_.make_report) {
         request.report = options_.make_report();
     }
+    if (send_renewal(request)) {
+        return;
+    }
+    if (options_.make_report) {
+        request.report_number = record_full_report(reports_, request.report);
+    }
     const bool relayed = !upstream_.empty() && !is_control_member(upstream_);
     if (relayed && requested_at_ - control_contact_at_ >= direct_attempt_interval) {
         control_contact_at_ = requested_at_;
@@ -111,6 +117,48 @@
     }
 }
 
+bool lease_client::send_renewal(const lease_request& request)
+{
+    if (!options_.make_report || upstream_.empty() || !is_control_member(upstream_)) {
+        return false;
+    }
+    std::optional<report_delta> delta = make_next_delta(reports_, upstream_, request.report);
+    if (!delta) {
+        return false;
+    }
+    send(upstream_, lease_renewal{.incarnation = request.record.incarnation,
+                                  .index = request.index,
+                                  .sent_at = request.sent_at,
+                                  .draining = request.draining,
+                                  .report = std::move(*delta),
+                                  .control_checksum = address_list_checksum(control_members_)});
+    return true;
+}
+
+void lease_client::handle(const renewal_refused& refusal, const std::string& sender)
+{
+    if (refusal.incarnation == view_.self().incarnation) {
+        record_missing_base(reports_, sender);
+        renew_soon();
+    }
+}
+
+entry_instructions lease_client::complete_instructions(const lease_grant& grant) const
+{
+    entry_instructions instructions = grant.instructions;
+    if (grant.shares.base == 0) {
+        return instructions;
+    }
+    if (const auto shares = shares_of_grant(reports_, grant.shares)) {
+        instructions.connections.shares = *shares;
+    }
+    else {
+        // Without a number of entries, the shares in force are kept.
+        instructions.entry_count = 0;
+    }
+    return instructions;
+}
+
 bool lease_client::is_control_member(const std::string& address) const
 {
     const auto is_in = [&](const std::vector<std::string>& all) {
@@ -273,8 +321,9 @@
                                                      {"index", std::to_string(registry_.index)}});
     }
     if (options_.on_instructions) {
-        options_.on_instructions(grant.instructions);
+        options_.on_instructions(complete_instructions(grant));
     }
+    record_confirmed_report(reports_, sender, grant.confirmed_report);
     if (changed) {
         on_change_();
         // Unrequested configuration is confirmed at once: the request names the index in force.
--- a/entry/lease_client.h
+++ b/entry/lease_client.h
@@ -10,6 +10,7 @@
 #include "entry/entry_view.h"
 #include "fleet/fleet_node.h"
 #include "fleet/lease_message.h"
+#include "fleet/report_exchange.h"
 
 namespace balsamdrift {
 
@@ -71,6 +72,13 @@
     void handle(const relayed_lease_grant& relayed, const std::string& sender);
     void handle(const rate_token_request& request, const std::string& sender);
     void handle(const rate_token_grant& grant, const std::string& sender);
+    void handle(const renewal_refused& refusal, const std::string& sender);
+    /// Sends the request as a renewal if the recipient has confirmed a report. False if it must be
+    /// sent in full.
+    bool send_renewal(const lease_request& request);
+    /// The grant's instructions with all shares in them. Without shares if those that the grant
+    /// changes are not known any more.
+    entry_instructions complete_instructions(const lease_grant& grant) const;
     /// True when the newest requests were answered by a control member itself, so that this entry
     /// can forward requests of others.
     bool has_control_contact() const;
@@ -105,6 +113,8 @@
     /// When a control member last granted the lease directly or, while another entry forwards the
     /// requests, when control was last tried directly.
     time_point control_contact_at_{};
+    /// Reports that the leader has from this process. Unused without make_report.
+    report_sender reports_;
     random_engine random_{random_identity()};
     /// Whether the lease was held at the last tick.
     bool lease_was_held_ = false;
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -9,6 +9,7 @@
 #include "core/rates/token_pool.h"
 #include "core/registry/records.h"
 #include "fleet/entry_report.h"
+#include "fleet/report_delta.h"
 
 namespace balsamdrift {
 
@@ -24,7 +25,10 @@
     bool draining = false;
     /// Set by entries that run statements themselves.
     entry_report report;
-    MSGPACK_DEFINE(entry, record, index, sent_at, draining, report)
+    // Differences between reports (lease_renewal).
+    /// Number of the report, which later renewals may refer to; zero if they will not.
+    std::uint64_t report_number = 0;
+    MSGPACK_DEFINE(entry, record, index, sent_at, draining, report, report_number)
 };
 
 /// The leader's answer to a lease_request, or unrequested new configuration if `sent_at` is zero.
@@ -42,7 +46,13 @@
     /// it; otherwise it could serve under a primary record whose change the leader considers
     /// settled.
     std::uint64_t index = 0;
-    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries, instructions, index)
+    // Differences between reports (lease_renewal).
+    /// Number of the report that the leader has now; zero if it keeps none.
+    std::uint64_t confirmed_report = 0;
+    /// In answer to a renewal: the shares, in place of those in `instructions`.
+    share_changes shares;
+    MSGPACK_DEFINE(incarnation, sent_at, lease_ms, snapshot, entries, instructions, index,
+                   confirmed_report, shares)
 };
 
 /// A control member that is not the leader refuses a request.
@@ -136,11 +146,32 @@
     MSGPACK_DEFINE(entry, origin, number, grants)
 };
 
+/// Renews the lease like a lease_request, relative to a report that the leader has confirmed. Sent
+/// only to the control member that confirmed it, so builds without this message never receive it.
+struct lease_renewal {
+    std::uint64_t incarnation = 0;
+    std::uint64_t index = 0;
+    std::int64_t sent_at = 0;
+    bool draining = false;
+    report_delta report;
+    /// address_list_checksum() of the control members that the entry knows. The grant names them
+    /// only if it differs.
+    std::uint32_t control_checksum = 0;
+    MSGPACK_DEFINE(incarnation, index, sent_at, draining, report, control_checksum)
+};
+
+/// The leader lacks the base of a renewal's report. The entry sends a lease_request.
+struct renewal_refused {
+    std::uint64_t incarnation = 0;
+    MSGPACK_DEFINE(incarnation)
+};
+
 /// Any message on fleet_channel::lease: between entries and control, and between control members
 /// other than consensus messages.
 using lease_message =
     std::variant<lease_request, lease_grant, not_leader, owner_command, lease_release,
                  relayed_heartbeat, relayed_command, relayed_command_result, relayed_deregistration,
-                 relayed_lease_request, relayed_lease_grant, rate_token_request, rate_token_grant>;
+                 relayed_lease_request, relayed_lease_grant, rate_token_request, rate_token_grant,
+                 lease_renewal, renewal_refused>;
 
 }  // namespace balsamdrift
--- a/fleet/traffic_counters.cpp
+++ b/fleet/traffic_counters.cpp
@@ -32,7 +32,9 @@
     "relayed_lease_request",
     "relayed_lease_grant",
     "rate_token_request",
-    "rate_token_grant"};
+    "rate_token_grant",
+    "lease_renewal",
+    "renewal_refused"};
 constexpr std::array<std::string_view, std::variant_size_v<work_message>> work_types{
     "work_request", "work_answer", "token_request", "token_answer", "announcement", "work_cancel"};
 
