Send short frames to peers that read them

Two thirds of a small message were its envelope: a signature of 32 bytes, the sender's address as text and two time stamps. A frame now says that its sender reads short frames; to such a peer the signature is cut to 16 bytes, the address packed into 6, and the received stamp sent relative to the own one. Neither format depends on earlier frames, so a peer that restarts reads the next one. If a peer confirms nothing in time, full frames are sent again, as an older build may have taken its place.

--- a/base/signature.cpp
+++ b/base/signature.cpp
@@ -24,4 +24,12 @@
            CRYPTO_memcmp(signature.data(), expected.data(), expected.size()) == 0;
 }
 
+bool verify_short_signature(std::string_view signature, std::string_view payload,
+                            const std::string& secret)
+{
+    const std::string expected = sign(payload, secret);
+    return signature.size() == short_signature_bytes &&
+           CRYPTO_memcmp(signature.data(), expected.data(), short_signature_bytes) == 0;
+}
+
 }  // namespace balsamdrift
--- a/fleet/fleet_message.h
+++ b/fleet/fleet_message.h
@@ -35,7 +35,9 @@
     /// Stamp of the newest frame that the sender has received from the receiver; zero if it has
     /// received none, not set by versions that do not confirm frames.
     std::optional<std::uint64_t> received_stamp;
-    MSGPACK_DEFINE(channel, sender, stamp, body, received_stamp)
+    /// True if the sender reads short frames (frame_codec.h); not set by builds that do not.
+    bool reads_short_frames = false;
+    MSGPACK_DEFINE(channel, sender, stamp, body, received_stamp, reads_short_frames)
 };
 
 }  // namespace balsamdrift
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -7,14 +7,14 @@
 #include <atomic>
 #include <map>
 #include <optional>
+#include <set>
 #include <thread>
 
-#include "base/codec.h"
 #include "base/event_log.h"
 #include "base/sharded.h"
-#include "base/signature.h"
 #include "base/time.h"
 #include "fleet/delivery_watch.h"
+#include "fleet/frame_codec.h"
 #include "fleet/traffic_counters.h"
 
 namespace balsamdrift {
@@ -27,13 +27,6 @@
 constexpr nng_duration receive_timeout_ms = 200;
 constexpr std::size_t max_message_bytes = std::size_t{64} * 1024 * 1024;
 
-bool is_signed(std::string_view bytes, const std::string& secret)
-{
-    return bytes.size() >= signature_bytes &&
-           verify_signature(bytes.substr(0, signature_bytes), bytes.substr(signature_bytes),
-                            secret);
-}
-
 /// Outgoing connection to a peer.
 struct peer_socket {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
@@ -45,6 +38,8 @@
     std::map<std::string, peer_socket> sockets;
     /// Stamp of the newest frame that was received from each peer.
     std::map<std::string, std::uint64_t> received_stamps;
+    /// Peers whose newest frame said that they read short frames.
+    std::set<std::string> short_frame_readers;
 };
 
 std::string url_of(const std::string& address) { return "tcp://" + address; }
@@ -67,19 +62,22 @@
 
 void fleet_node::implementation::deliver(std::string_view bytes)
 {
-    if (!is_signed(bytes, options.secret)) {
-        return;
-    }
-    auto frame = decode<fleet_frame>(bytes.substr(signature_bytes));
-    if (!succeeded(frame)) {
+    std::optional<fleet_frame> frame = decode_frame(bytes, options.secret);
+    if (!frame) {
         return;
     }
-    fleet_frame& it = value_of(frame);
+    fleet_frame& it = *frame;
     count_message(traffic_direction::received, static_cast<fleet_channel>(it.channel), it.body,
                   bytes.size());
     observe_timeline_stamp(it.stamp);
     peers.with(it.sender, [&](peer_shard& shard) {
         shard.received_stamps[it.sender] = it.stamp;
+        if (it.reads_short_frames) {
+            shard.short_frame_readers.insert(it.sender);
+        }
+        else {
+            shard.short_frame_readers.erase(it.sender);
+        }
         const auto peer = shard.sockets.find(it.sender);
         if (peer != shard.sockets.end()) {
             record_confirmation(peer->second.watch, it.received_stamp);
@@ -194,6 +192,10 @@
             found = it.sockets.emplace(address, peer).first;
         }
         peer_socket& peer = found->second;
+        if (is_overdue(peer.watch, now)) {
+            // An older build may have taken the peer's place.
+            it.short_frame_readers.erase(address);
+        }
         if (!impl_->reconnect_if_overdue(address, peer, now)) {
             it.sockets.erase(found);
             return;
@@ -204,9 +206,10 @@
                                 .stamp = next_timeline_stamp(),
                                 .body = std::move(body),
                                 .received_stamp =
-                                    received == it.received_stamps.end() ? 0 : received->second};
-        const std::string encoded = encode(frame);
-        std::string bytes = sign(encoded, impl_->options.secret) + encoded;
+                                    received == it.received_stamps.end() ? 0 : received->second,
+                                .reads_short_frames = true};
+        std::string bytes =
+            encode_frame(frame, it.short_frame_readers.contains(address), impl_->options.secret);
         count_message(traffic_direction::sent, channel, frame.body, bytes.size());
         record_sent(peer.watch, {}, frame.stamp, bytes.size(), now);
         // The message is dropped if the queue is full; every protocol repeats its messages if it
