Repeat requests for prefetched tokens only as fast as they are used

With 109 entries each wanted to hold one token of each of 76 customers, which is more than a customer's burst allows. Control answered that the prefetch was incomplete, and every entry asked again each 100 ms: more requests than operations. An entry now asks again after the time in which its own demand uses up one token, and requests that only refill follow each other after 400 ms while enough tokens are left. Callers that wait are asked for at once as before. control's accounting is unchanged.

--- a/core/rates/token_cache.cpp
+++ b/core/rates/token_cache.cpp
@@ -55,6 +55,26 @@
     }
 }
 
+/// True if the customer's tokens should be refilled soon: fewer than half of the target are left.
+/// Where the target is so small that this means none, the next caller requests one.
+bool is_refill_urgent(const token_cache& cache, const customer_token_cache& it,
+                      const token_cache_options& options, time_point now)
+{
+    return now >= it.prefetch_again_at && now >= it.pool_empty_until &&
+           it.prefetched + 1 < prefetch_target(cache, it, options, now) / 2;
+}
+
+/// Time in which the entry's usual demand uses up one token. Asking more often for tokens that
+/// control does not have gains nothing; many entries that each hold one token of each customer
+/// would otherwise repeat their requests all the time.
+duration prefetch_retry_interval(const token_cache& cache, const customer_token_cache& it,
+                                 const token_cache_options& options, time_point now)
+{
+    const std::uint32_t target = std::max(prefetch_target(cache, it, options, now), 1U);
+    return std::max(options.prefetch_duration / static_cast<std::int64_t>(target),
+                    options.refill_interval);
+}
+
 /// Takes a token of the entry's own share of the rate, which accrues from the moment the entry
 /// became isolated. False if none is left.
 bool take_isolated_share(const token_cache& cache, const token_cache_options& options,
@@ -99,6 +119,7 @@
     if (it.limits != limits) {
         it.limits = limits;
         it.prefetched = 0;
+        it.prefetch_again_at = {};
     }
 }
 
@@ -174,6 +195,15 @@
     if (!callers_waiting && now - cache.last_request_at < options.refill_interval) {
         return {};
     }
+    const bool urgent =
+        callers_waiting || cache.pending_request_at ||
+        now - cache.last_request_at >= options.relaxed_refill_interval ||
+        std::any_of(cache.customers_due.begin(), cache.customers_due.end(), [&](const auto& name) {
+            return is_refill_urgent(cache, cache.customers[name], options, now);
+        });
+    if (!urgent) {
+        return {};
+    }
     if (cache.pending_request_at) {
         cache.customers_due.insert(cache.requested_customers.begin(),
                                    cache.requested_customers.end());
@@ -182,7 +212,7 @@
     std::set<std::string> later;
     for (const std::string& name : cache.customers_due) {
         customer_token_cache& it = cache.customers[name];
-        if (now < it.pool_empty_until) {
+        if (now < it.pool_empty_until || (it.waiting.empty() && now < it.prefetch_again_at)) {
             later.insert(name);
             continue;
         }
@@ -237,6 +267,9 @@
             it.pool_retry_after = wait;
             refuse_callers_without_prospect(it, options, name, wait, now, decisions);
         }
+        if (grant.prefetch_incomplete) {
+            it.prefetch_again_at = now + prefetch_retry_interval(cache, it, options, now);
+        }
         if (grant.prefetch_incomplete || !it.waiting.empty()) {
             cache.customers_due.insert(name);
         }
--- a/core/rates/token_cache.h
+++ b/core/rates/token_cache.h
@@ -27,6 +27,9 @@
     /// Minimum time between requests that only refill prefetched tokens. Each request covers all
     /// customers that are due.
     duration refill_interval = milliseconds(100);
+    /// The same while enough tokens of all customers are left. The tokens used in this time are a
+    /// sixth of what `prefetch_duration` covers.
+    duration relaxed_refill_interval = milliseconds(400);
     /// Callers are refused when control has left their request unanswered for this long, which
     /// covers two requests.
     duration max_answer_wait = milliseconds(300);
@@ -55,6 +58,9 @@
     /// Tokens for future callers, valid until `prefetched_until`.
     std::uint32_t prefetched = 0;
     time_point prefetched_until{};
+    /// Control could not grant all that the entry may prefetch. While no caller waits, the entry
+    /// requests no more before this time.
+    time_point prefetch_again_at{};
     /// Control had no tokens left. The entry requests none before this time.
     time_point pool_empty_until{};
     /// Predicted time from one token to the next when control reported that it had none left.
