--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -233,6 +233,7 @@
                 leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
                 coordinator_.reset(leases_.leading_since, it.term);
                 transfers_.clear();
+                reports_.clear();
                 if (!it.leads) {
                     fail_proposals();
                 }
@@ -436,7 +437,7 @@
 }
 
 void control_service::process_lease_request(const lease_request& it, const std::string& sender,
-                                            const std::string& origin)
+                                            const std::string& origin, const lease_renewal* renewal)
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
@@ -485,6 +486,9 @@
         grant.instructions =
             coordinator_.make_instructions(make_coordinator_view(), id, it.report, now);
         grant.instructions.control = member_addresses();
+        if (origin.empty()) {
+            shorten_grant(grant, it, renewal);
+        }
     }
     send_grant(sender, origin, grant);
 }
@@ -596,6 +600,7 @@
 void control_service::handle(const lease_release& it, const std::string&)
 {
     leases_.leases.erase(it.entry);
+    reports_.erase(it.entry.incarnation);
     coordinator_.release_entry(it.entry.name);
     propose_internal(expire_entry{it.entry});
 }
@@ -834,6 +839,7 @@
          expired_entries(leases_, registered_entries(), options_.lease_duration, now)) {
         log_event(event_id::entry_expired, {{"entry", it.name}});
         leases_.leases.erase(it);
+        reports_.erase(it.incarnation);
         propose_internal(expire_entry{it});
     }
 }
