--- a/base/event.cpp
+++ b/base/event.cpp
@@ -120,10 +120,10 @@
          "A session was ended by the VM, not by its caller."},
         {event_id::statement_served, "statement_served", info,
          "A statement succeeded; only a sample of these is logged."},
-        {event_id::domain_evacuated, "domain_evacuated", warning,
+        {event_id::evacuation_in_force, "evacuation_in_force", warning,
          "An evacuation order is in force on this entry; the fields give the domain and the "
          "grace."},
-        {event_id::domain_restored, "domain_restored", info,
+        {event_id::evacuation_ended, "evacuation_ended", info,
          "An evacuation order was withdrawn; instances in the domain are used again."},
         {event_id::declared_configuration_refused, "declared_configuration_refused", warning,
          "A declared configuration is invalid; no part of it was applied."},
--- a/base/event.h
+++ b/base/event.h
@@ -70,8 +70,8 @@
     session_refused = 6006,
     session_ended = 6007,
     statement_served = 6008,
-    domain_evacuated = 6009,
-    domain_restored = 6010,
+    evacuation_in_force = 6009,
+    evacuation_ended = 6010,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
--- a/pooling/session_service_domains.cpp
+++ b/pooling/session_service_domains.cpp
@@ -11,14 +11,14 @@
     std::erase_if(evacuated_until_, [&](const auto& it) {
         const bool restored = !is_evacuated(*registry_, it.first);
         if (restored) {
-            log_event(event_id::domain_restored, {{"domain", it.first}});
+            log_event(event_id::evacuation_ended, {{"domain", it.first}});
         }
         return restored;
     });
     for (const std::string& domain : registry_->evacuated_domains) {
         const time_point until = evacuation_deadline(options_.evacuation, now, last_contact_);
         if (evacuated_until_.emplace(domain, until).second) {
-            log_event(event_id::domain_evacuated,
+            log_event(event_id::evacuation_in_force,
                       {{"domain", domain},
                        {"grace_ms", milliseconds_text(std::max(until - now, duration{0}))}});
         }
