--- a/core/tests/warmup_allocation_test.cpp
+++ b/core/tests/warmup_allocation_test.cpp
@@ -85,7 +85,7 @@
             greedy_entry& it = entries[n];
             const bool cut_off = n % 8 == 3 && step % 1500 < 700;
             if ((static_cast<std::size_t>(step) + n) % 50 == 0 && !cut_off) {
-                it.demand = random() % 4 == 0 ? random() % 50 : it.demand;
+                it.demand = random() % 4 == 0 ? static_cast<double>(random() % 50) : it.demand;
                 const warmup_grant grant = request(table, it.name, it.demand, it.held, now);
                 if (random() % 5 != 0) {
                     it.receive(grant, now);
