Limit what entries send to overloaded instances by urgency

Cause: during a burst of the least urgent kind, each entry sent an instance that answered BUSY as much of every kind as before, 30 ms later. Urgent work waited in the instance's queue, used up its four attempts, and all refused callers came back at the same time. BUSY answers, which are fast, also lowered the latency estimate of the instance that gave them.

Change: core/queueing/concurrency_limit learns a minimum interval between starts for each instance and priority from BUSY answers and latency; the interval of less urgent work grows with the share of more urgent demand. core/queueing/shedding orders what waits, displaces at a full queue and keeps a floor for each priority; core/queueing/return_schedule spreads the times to come back. BUSY no longer uses up attempts. The queue of the session service moves to a file of its own. Without a BUSY answer no limit exists.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -120,6 +120,13 @@
          "A session was ended by the VM, not by its caller."},
         {event_id::statement_served, "statement_served", info,
          "A statement succeeded; only a sample of these is logged."},
+        {event_id::service_overloaded, "service_overloaded", warning,
+         "An instance answered BUSY; the entry limits what it sends to it, less urgent work "
+         "first."},
+        {event_id::service_recovered, "service_recovered", info,
+         "The entry no longer limits what it sends to the instances of the service."},
+        {event_id::statement_displaced, "statement_displaced", info,
+         "A waiting statement was refused, not run, in favour of a more urgent one."},
         {event_id::declared_configuration_refused, "declared_configuration_refused", warning,
          "A declared configuration is invalid; no part of it was applied."},
         {event_id::declared_configuration_accepted, "declared_configuration_accepted", info,
--- a/base/event.h
+++ b/base/event.h
@@ -70,6 +70,9 @@
     session_refused = 6006,
     session_ended = 6007,
     statement_served = 6008,
+    service_overloaded = 6012,
+    service_recovered = 6013,
+    statement_displaced = 6014,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
--- a/core/queueing/admission.cpp
+++ b/core/queueing/admission.cpp
@@ -9,7 +9,8 @@
 {
     const int parallel = std::max(request.connections, 1);
     const duration backlog = request.mean_hold_time * (request.queued_ahead + 1) / parallel;
-    const duration wait = request.blocked_for + backlog;
+    const duration wait =
+        request.blocked_for + std::max(backlog, request.start_interval * request.queued_ahead);
     const auto limit = scaled(request.time_left, options.max_wait_fraction);
     if (wait <= limit) {
         return admission_granted{wait};
--- a/core/queueing/admission.h
+++ b/core/queueing/admission.h
@@ -10,10 +10,12 @@
 struct admission_request {
     /// Number of waiting statements that are served first.
     int queued_ahead = 0;
-    /// Number of connections that serve the queue.
+    /// Number of statements that run in parallel.
     int connections = 1;
     /// Mean time for which a statement holds its connection.
     duration mean_hold_time{};
+    /// Minimum interval between two starts; zero if the starts are not limited.
+    duration start_interval{};
     /// Expected time until statements can be served again, for example while a primary is replaced.
     /// Zero if they can be served now.
     duration blocked_for{};
--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -53,6 +53,11 @@
     time_point arrived_at{};
     /// The caller is answered shortly before this time at the latest.
     time_point deadline{};
+    /// Time by which equally urgent statements are ordered: the arrival, or, if the caller was
+    /// refused before and came back on time, the arrival of the refused statement.
+    time_point ordered_at{};
+    /// True if the caller came back when it was told to.
+    bool returned_on_time = false;
     /// Position in the service's queue. Kept when the statement is queued again after an attempt.
     std::optional<std::uint64_t> queue_number;
     /// The transaction that begins once the customer's rate admits it.
@@ -89,6 +94,10 @@
     /// Position of the session's newest commit, and the generation of the primary that ran it.
     log_position last_commit;
     std::uint64_t last_commit_generation = 0;
+    /// When the caller was told to come back, and when the refused statement was ordered; the
+    /// clock's epoch without a refusal.
+    time_point promised_at{};
+    time_point refused_ordered_at{};
     time_point opened_at{};
     /// When a statement of the session last arrived or was answered.
     time_point last_active_at{};
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/instances/instance_directory.h"
+#include "core/queueing/concurrency_limit.h"
 #include "core/rates/connection_budget.h"
 #include "core/routing/placement.h"
 #include "core/sessions/log_position.h"
@@ -28,9 +29,11 @@
     /// attempts.
     duration min_lagging_backoff = milliseconds(100);
     duration max_lagging_backoff = milliseconds(800);
-    /// An instance whose queue is full is not used for this long, so that a few of its statements
-    /// can finish.
-    duration busy_backoff = milliseconds(30);
+    /// Limits of the starts on an instance that answered BUSY because its queue is full.
+    limit_options limits;
+    /// Work that replicas can run keeps off the primary for this long after more urgent work was
+    /// delayed there, which covers several answers of the primary.
+    duration primary_delay = milliseconds(300);
     /// After an instance refused a connection because it has too many, no further one is opened for
     /// `min_full_backoff`. The time doubles with each further refusal, up to `max_full_backoff`.
     duration min_full_backoff = milliseconds(30);
@@ -56,6 +59,8 @@
     duration backoff{};
     /// When the instance first could not be reached; valid while `backoff` is not zero.
     time_point unreachable_since{};
+    /// What BUSY answers have taught about how much work the instance takes, by urgency.
+    instance_limit limit;
     /// Until this time the instance gets only reads whose position it is known to have.
     time_point lagging_until{};
     /// Backoff after the newest refusal of that kind; zero once the instance served a read.
--- a/pooling/service_state.h
+++ b/pooling/service_state.h
@@ -3,18 +3,27 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <tuple>
+#include <utility>
 
+#include "core/queueing/decayed_count.h"
+#include "core/queueing/return_schedule.h"
+#include "core/queueing/shedding.h"
 #include "core/registry/primary_record.h"
 #include "core/routing/position_history.h"
 #include "pooling/instance_pool.h"
 
 namespace balsamdrift {
 
-/// Position in a queue: the route's priority, of which lower values are served first, then the
-/// order in which statements were queued.
+/// Key of a waiting statement: the route's priority, then the order in which statements were
+/// queued. sort_for_service() gives the order of service.
 using queue_key = std::pair<int, std::uint64_t>;
 
+/// Attempts that instances ran, and those that they answered with BUSY.
+struct attempt_counts {
+    decayed_count served;
+    decayed_count refused;
+};
+
 /// What this VM knows of a service, and the statements that wait for it.
 struct service_state {
     primary_record record;
@@ -23,10 +32,26 @@
     position_history positions;
     /// Connections by instance.
     std::map<std::string, instance_pool> pools;
-    /// Numbers of the sessions whose statements wait, in the order of service.
+    /// Numbers of the sessions whose statements wait.
     std::map<queue_key, std::uint64_t> queue;
     /// Moving average of the time for which a statement holds a connection.
     duration mean_hold_time = milliseconds(20);
+    /// The same average by database, since each is another kind of work.
+    std::map<std::string, duration> hold_times;
+    /// Statements and transactions that arrived, by priority.
+    std::map<int, decayed_count> demand;
+    /// Latency objectives of the routes to the service that were used, by priority.
+    std::map<int, duration> latency_objectives;
+    /// Recent attempts by priority, while the service is overloaded.
+    std::map<int, attempt_counts> attempts;
+    start_credits credits;
+    return_schedule returns;
+    /// True from the first BUSY answer until no instance of the service has a limit.
+    bool overloaded = false;
+    /// Until this time, work that is less urgent than `delayed_priority` and that replicas can run
+    /// keeps off the primary, because work that only the primary can run is delayed there.
+    time_point primary_delayed_until{};
+    int delayed_priority = 0;
     /// Epoch of the newest primary record for which no work of an earlier record remains on this
     /// VM.
     std::uint64_t settled_epoch = 0;
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -163,6 +163,11 @@
 {
     const time_point now = hooks_.now();
     count_metric("balsamdrift_refused_statements_total", "reason=\"" + reason + "\"");
+    if (session.transaction) {
+        count_metric("balsamdrift_shed_statements_total",
+                     "reason=\"" + reason + "\",priority=\"" +
+                         std::to_string(route_of(session).priority) + "\"");
+    }
     log_event(event_id::statement_refused,
               {{"id", session.pending->request.id},
                {"database", session.database},
@@ -316,6 +321,7 @@
     session.pending->deadline =
         session.pending->arrived_at + session.transaction->route.statement_timeout;
     service_state& service = services_[session.transaction->route.service];
+    record_demand(session, service);
     if (!dispatch(session, service)) {
         enqueue(session, service);
     }
@@ -430,6 +436,7 @@
         }
         return;
     }
+    record_demand(session, service);
     if (!dispatch(session, service)) {
         enqueue(session, service);
     }
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -57,6 +57,11 @@
     pool_options pool;
     placement_options placement;
     admission_options admission;
+    shedding_options shedding;
+    /// Time constant of the measured demand for a service. An entry gets a few urgent statements
+    /// for a service within it.
+    duration demand_time_constant = seconds(10);
+    return_options returns;
     position_history_options positions;
 };
 
@@ -176,16 +181,9 @@
     /// Number of connections that this VM may have to the instance.
     connection_budget budget_for(const instance_pool& pool) const;
     proximity distance_to(const instance_pool& pool) const;
-    /// Predicted time until an instance can serve the pending statement; zero if one can now.
-    duration blocked_for(const caller_session& session, const service_state& service,
-                         time_point now) const;
     /// Sends the pending statement to an instance. False if no instance has a connection available
     /// or the attempts are used up.
     bool dispatch(caller_session& session, service_state& service);
-    /// Queues the pending statement, or refuses it if it is predicted to wait too long.
-    void enqueue(caller_session& session, service_state& service);
-    void remove_from_queue(caller_session& session);
-    void serve_queue(service_state& service);
     void start_on_instance(caller_session& session, service_state& service, instance_pool& pool);
     pooled_connection_ptr acquire_connection(const caller_session& session, instance_pool& pool);
     pooled_connection_ptr open_connection(instance_pool& pool, const std::string& customer);
@@ -194,6 +192,54 @@
     void send_request(caller_session& session, pooled_connection& connection);
     void send(pooled_connection& connection, const statement& it, answer_purpose purpose);
 
+    // Queues, limits of overloaded instances, and refusals.
+    limited_work work_of(const caller_session& session, const service_state& service,
+                         time_point now) const;
+    /// How far the customer is above its usual rate.
+    int excess_of(const std::string& customer, time_point now) const;
+    /// Until when the instance takes no statement like the pending one because it, or the primary,
+    /// is overloaded; the clock's epoch while nothing is.
+    time_point held_back_until(const caller_session& session, const service_state& service,
+                               const instance_pool& pool, time_point now) const;
+    void record_demand(const caller_session& session, service_state& service);
+    /// Records that an instance answered BUSY to a statement of this priority.
+    void record_overload(service_state& service, instance_pool& pool, int priority);
+    /// Records a statement that the instance ran, for the limits.
+    void record_time_on_instance(const caller_session& session, service_state& service,
+                                 instance_pool& pool);
+    /// Records that work which only the primary can run is delayed there.
+    void record_primary_delay(const caller_session& session, service_state& service);
+    /// Ends the service's overload, and the limits of its instances, when BUSY is long ago.
+    void expire_overload(const std::string& name, service_state& service, time_point now);
+    /// Sends a statement that an instance answered with BUSY elsewhere, or queues it.
+    void retry_busy(caller_session& session);
+    /// Predicted time until an instance can serve the pending statement; zero if one can now.
+    duration blocked_for(const caller_session& session, const service_state& service,
+                         time_point now) const;
+    waiting_statement waiting_of(const caller_session& session, const service_state& service,
+                                 time_point now) const;
+    /// The statements that wait for the service, in the order of service.
+    std::vector<waiting_statement> waiting_for(const service_state& service, time_point now) const;
+    /// Mean time for which statements of the session's kind hold a connection.
+    duration hold_time_of(const caller_session& session, const service_state& service) const;
+    /// Predicts whether the pending statement starts in time. `waiting` is what waits.
+    std::variant<admission_granted, admission_refused>
+    predict(const caller_session& session, const service_state& service,
+            const std::vector<waiting_statement>& waiting, time_point now) const;
+    /// Expected time from one start of the session's kind to the next, over all instances that can
+    /// run it; zero while one of them has no limit.
+    duration start_spacing(const caller_session& session, const service_state& service,
+                           time_point now) const;
+    /// Queues the pending statement, or refuses it if it is predicted to wait too long.
+    void enqueue(caller_session& session, service_state& service);
+    /// Refuses a statement that was not sent, with the time to come back.
+    void refuse_waiting(caller_session& session, service_state& service, const std::string& reason,
+                        duration blocked_for);
+    void remove_from_queue(caller_session& session);
+    void serve_queue(service_state& service);
+    /// Refuses waiting statements of an overloaded service that can no longer start in time.
+    void refuse_hopeless(service_state& service, time_point now);
+
     // Answers of instances.
     void on_started(const pooled_connection_ptr& connection,
                     const statement_answer& instance_answer);
@@ -210,7 +256,9 @@
                   const statement_answer& instance_answer);
     void record_position(service_state& service, instance_pool& pool,
                          const statement_answer& instance_answer, const expected_answer& expected);
-    void record_refusal(service_state& service, instance_pool& pool, statement_error_code code);
+    /// `priority` is that of the refused statement.
+    void record_refusal(service_state& service, instance_pool& pool, statement_error_code code,
+                        int priority);
     /// False if the statement ran under a lease on a primary that this VM may no longer use.
     bool may_report_success(const caller_session& session, const service_state& service) const;
     /// Sends a statement that had no effect on `instance` to another one, or queues it.
@@ -218,7 +266,9 @@
     /// Answers the pending statement with an error and aborts its transaction. The error code says
     /// whether a write may have been committed.
     void fail_pending_statement(caller_session& session, const std::string& reason);
-    void release_connection(const pooled_connection_ptr& connection);
+    /// `ran` is false if the instance refused what was sent, so that the time for which the
+    /// connection was held says nothing about the statement.
+    void release_connection(const pooled_connection_ptr& connection, bool ran = true);
     /// Handles a connection as broken: statements on it may have run without an answer.
     void fail_connection(const pooled_connection_ptr& connection);
     void close_connection(const pooled_connection_ptr& connection);
@@ -266,6 +316,7 @@
     std::map<std::uint64_t, std::unique_ptr<caller_session>> sessions_;
     std::map<std::string, service_state> services_;
     token_cache tokens_;
+    std::map<std::string, customer_demand> customer_demand_;
     time_point demand_measured_at_{};
     share_grant connection_shares_;
     std::map<std::string, double> connection_demand_;
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -49,7 +49,11 @@
         on_set_up_answer(*session, connection, instance_answer, expected.purpose);
         return;
     }
-    if (pool != nullptr) {
+    if (pool != nullptr && error_code_of(instance_answer) == statement_error_code::busy) {
+        // The time of a refusal says nothing about the time of a statement.
+        record_reachable(*pool, hooks_.now());
+    }
+    else if (pool != nullptr) {
         record_latency(*pool, options_.pool, hooks_.now() - expected.sent_at, hooks_.now());
     }
     on_request_answer(*session, connection, instance_answer);
@@ -80,18 +84,34 @@
 {
     if (const auto code = error_code_of(instance_answer)) {
         if (const auto [service, pool] = find_pool(*connection); pool != nullptr) {
-            record_refusal(*service, *pool, *code);
+            record_refusal(*service, *pool, *code, route_of(session).priority);
         }
         // It is not known which values the connection has now, so it is not reused.
         const bool transaction_has_begun =
             session.transaction->connection == connection && session.pending->attempts == 0;
         session.transaction->connection = nullptr;
-        close_connection(connection);
+        const bool busy = *code == statement_error_code::busy;
+        const bool reusable = busy && purpose == answer_purpose::begin && !transaction_has_begun &&
+                              connection->expected_answers.empty();
+        if (reusable) {
+            // Only the begin was refused, so the connection has the values that were set.
+            release_connection(connection, false);
+        }
+        else {
+            close_connection(connection);
+        }
+        if (!session.pending) {
+            return;
+        }
         if (transaction_has_begun) {
             session.transaction->aborted = true;
             fail_pending_statement(session, "the connection could not be set up");
             return;
         }
+        if (busy) {
+            retry_busy(session);
+            return;
+        }
         retry(session, connection->instance,
               purpose == answer_purpose::begin ? "begin refused" : "set-up refused");
         return;
@@ -123,6 +143,7 @@
     if (is_success(instance_answer)) {
         if (instance_pool* const pool = find_pool(*connection).pool) {
             pool->lagging_backoff = duration{};
+            record_time_on_instance(session, services_[route_of(session).service], *pool);
         }
         on_success(session, instance_answer);
     }
@@ -165,15 +186,13 @@
 }
 
 void session_service::record_refusal(service_state& service, instance_pool& pool,
-                                     statement_error_code code)
+                                     statement_error_code code, int priority)
 {
     const time_point now = hooks_.now();
     switch (code) {
         case statement_error_code::lagging: record_lagging(pool, options_.pool, now); break;
         case statement_error_code::too_many: record_full(pool, options_.pool, now); break;
-        case statement_error_code::busy:
-            pool.backoff_until = std::max(pool.backoff_until, now + options_.pool.busy_backoff);
-            break;
+        case statement_error_code::busy: record_overload(service, pool, priority); break;
         case statement_error_code::misrouted: record_unreachable(pool, options_.pool, now); break;
         case statement_error_code::read_only:
             if (pool.heartbeat.instance == service.record.instance) {
@@ -193,7 +212,7 @@
     const statement_error_code code = *error_code_of(instance_answer);
     service_state& service = services_[route_of(session).service];
     if (instance_pool* const pool = find_pool(*connection).pool) {
-        record_refusal(service, *pool, code);
+        record_refusal(service, *pool, code, route_of(session).priority);
     }
     const bool single = is_single_statement(*session.transaction);
     const bool reads = !writes(session, session.pending->request);
@@ -206,8 +225,12 @@
         session.transaction->connection = nullptr;
         session.transaction->may_have_written = false;
         const std::string instance = connection->instance;
-        release_connection(connection);
-        if (session.pending) {
+        const bool busy = code == statement_error_code::busy;
+        release_connection(connection, !busy);
+        if (session.pending && busy) {
+            retry_busy(session);
+        }
+        else if (session.pending) {
             retry(session, instance, std::string("refused: ") + to_string(code));
         }
         return;
@@ -306,7 +329,9 @@
     if (pool != nullptr) {
         const bool too_many_connections = error.code == statement_error_code::too_many;
         if (reason == connection_end_reason::refused) {
-            record_refusal(*service, *pool, error.code);
+            const caller_session* const refused = find_session(connection->session);
+            const bool known = refused != nullptr && refused->transaction;
+            record_refusal(*service, *pool, error.code, known ? route_of(*refused).priority : 0);
         }
         if (reason == connection_end_reason::unreachable ||
             (reason == connection_end_reason::broken && !connection->accepted)) {
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -80,7 +80,8 @@
                                   const instance_pool& pool, time_point now) const
 {
     const std::string& name = pool.heartbeat.instance;
-    if (session.pending->excluded.contains(name) || now < pool.backoff_until) {
+    if (session.pending->excluded.contains(name) || now < pool.backoff_until ||
+        now < held_back_until(session, service, pool, now)) {
         return false;
     }
     if (name == service.record.instance && may_use_primary(service, now)) {
@@ -155,88 +156,14 @@
         return false;
     }
     remove_from_queue(session);
+    if (!service.queue.empty()) {
+        record_start(service.credits, options_.shedding, route_of(session).priority,
+                     waiting_for(service, now));
+    }
     start_on_instance(session, service, service.pools.at(*chosen));
     return true;
 }
 
-duration session_service::blocked_for(const caller_session& session, const service_state& service,
-                                      time_point now) const
-{
-    if (!candidates(session, service, now).empty()) {
-        return duration{0};
-    }
-    // Only the primary could serve the statement, and it cannot be used now.
-    const duration min_wait = options_.lease_renewal_time;
-    if (service.record.phase != primary_phase::serving) {
-        const duration time_left = options_.primary_change_time - (now - service.record_changed_at);
-        return std::max(time_left, min_wait);
-    }
-    const auto primary = service.pools.find(service.record.instance);
-    if (primary != service.pools.end() && now < primary->second.backoff_until) {
-        const duration time_left =
-            options_.primary_change_time - (now - primary->second.unreachable_since);
-        return std::max(time_left, min_wait);
-    }
-    return expected_lease_wait(now);
-}
-
-void session_service::enqueue(caller_session& session, service_state& service)
-{
-    const time_point now = hooks_.now();
-    pending_statement& pending = *session.pending;
-    int usable_connections = 0;
-    for (const auto& [name, pool] : service.pools) {
-        const bool usable = name == service.record.instance || !needs_primary(session);
-        usable_connections += usable ? budget_for(pool).in_use : 0;
-    }
-    const auto decision = admit({.queued_ahead = static_cast<int>(service.queue.size()),
-                                 .connections = usable_connections,
-                                 .mean_hold_time = service.mean_hold_time,
-                                 .blocked_for = blocked_for(session, service, now),
-                                 .time_left = pending.deadline - now},
-                                options_.admission);
-    const bool exhausted = pending.attempts >= options_.max_attempts;
-    const auto* const refused = std::get_if<admission_refused>(&decision);
-    if (refused != nullptr || exhausted) {
-        const duration retry_after =
-            refused != nullptr ? refused->retry_after : options_.admission.min_retry_after;
-        const char* const reason = exhausted                ? "attempts"
-                                   : needs_primary(session) ? "primary_unavailable"
-                                                            : "overload";
-        log_refusal(session, reason, retry_after);
-        fail_pending_statement(session, retry_after_text(retry_after, reason));
-        return;
-    }
-    if (!pending.queue_number) {
-        pending.queue_number = next_queue_number_++;
-    }
-    service.queue[{route_of(session).priority, *pending.queue_number}] = session.number;
-}
-
-void session_service::remove_from_queue(caller_session& session)
-{
-    if (!session.pending || !session.pending->queue_number || !session.transaction) {
-        return;
-    }
-    services_[route_of(session).service].queue.erase(
-        {route_of(session).priority, *session.pending->queue_number});
-}
-
-void session_service::serve_queue(service_state& service)
-{
-    std::vector<std::uint64_t> waiting;
-    waiting.reserve(service.queue.size());
-    for (const auto& [key, session] : service.queue) {
-        waiting.push_back(session);
-    }
-    for (const std::uint64_t number : waiting) {
-        caller_session* const session = find_session(number);
-        if (session != nullptr && session->pending) {
-            (void)dispatch(*session, service);
-        }
-    }
-}
-
 pooled_connection_ptr session_service::open_connection(instance_pool& pool,
                                                        const std::string& customer)
 {
@@ -342,6 +269,7 @@
         pool.heartbeat.instance == service.record.instance && may_use_primary(service, now);
     ++pending.attempts;
     ++pool.dispatch_count;
+    record_start(pool.limit, route_of(session).priority, now);
     pending.dispatched_at = now;
     pending.request_sent = false;
     // A primary that is used under a lease has every acknowledged commit.
@@ -379,16 +307,23 @@
     send(connection, outgoing, answer_purpose::request);
 }
 
-void session_service::release_connection(const pooled_connection_ptr& connection)
+void session_service::release_connection(const pooled_connection_ptr& connection, bool ran)
 {
     const time_point now = hooks_.now();
+    const caller_session* const holder = find_session(connection->session);
     connection->session = 0;
     service_state* const service = find_pool(*connection).service;
     if (service == nullptr) {
         return;
     }
     const duration held = now - connection->last_used_at;
-    service->mean_hold_time += scaled(held - service->mean_hold_time, hold_time_weight);
+    if (ran) {
+        service->mean_hold_time += scaled(held - service->mean_hold_time, hold_time_weight);
+    }
+    if (ran && holder != nullptr) {
+        duration& mean = service->hold_times.try_emplace(holder->database, held).first->second;
+        mean += scaled(held - mean, hold_time_weight);
+    }
     connection->last_used_at = now;
     serve_queue(*service);
 }
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -253,9 +253,8 @@
     const bool waiting = transaction.connection == nullptr;
     if (now >= answer_by) {
         if (waiting) {
-            log_refusal(session, "waited", queue_timeout_retry_after);
-            fail_pending_statement(session, retry_after_text(queue_timeout_retry_after,
-                                                             "no connection became free in time"));
+            refuse_waiting(session, services_[transaction.route.service], "waited",
+                           queue_timeout_retry_after);
         }
         else {
             fail_pending_statement(session, "the statement's limit was reached");
@@ -333,10 +332,12 @@
     for (auto& [name, service] : services_) {
         update_settled_epoch(service, now);
         remove_missing_instances(service, now);
+        expire_overload(name, service, now);
         for (auto& [instance, pool] : service.pools) {
             close_surplus_connections(pool);
         }
         serve_queue(service);
+        refuse_hopeless(service, now);
     }
 }
 
