--- a/core/queueing/concurrency_limit.h
+++ b/core/queueing/concurrency_limit.h
@@ -23,10 +23,9 @@
     duration urgent_interval = milliseconds(10);
     /// First and longest interval of less urgent work, in latency objectives of its kind, while the
     /// more urgent demand is at least `full_reserve_share`. In the first, work that waits can start
-    /// several times within its objective. The longest one halves the rate of an entry that sends
-    /// one statement in each objective.
-    double first_interval_objectives = 0.125;
-    double max_interval_objectives = 2;
+    /// several times within its objective; in the longest, once.
+    double first_interval_objectives = 0.25;
+    double max_interval_objectives = 1;
     /// The interval of less urgent work grows in proportion to the share of more urgent demand, up
     /// to this share.
     double full_reserve_share = 0.2;
@@ -38,8 +37,9 @@
     /// within it.
     duration expiry = seconds(3);
     /// An answer that took longer than this fraction of the most urgent objective shows that the
-    /// instance still has a queue. A limit is not relaxed by it.
-    double slow_fraction = 0.5;
+    /// instance still has a queue that leaves urgent work no time for a second attempt. A limit is
+    /// not relaxed by it.
+    double slow_fraction = 0.25;
 };
 
 /// What an entry has learned about work of one priority on an instance.
--- a/pooling/tests/overload_replay_test.cpp
+++ b/pooling/tests/overload_replay_test.cpp
@@ -42,6 +42,9 @@
     /// Factor of one customer of the bursting kind, in addition.
     double loud_factor = 1;
     int urgent_callers = 60;
+    std::size_t entry_count = 40;
+    int batch_callers = 340;
+    unsigned seed = 20261204;
     duration burst_begin = seconds(12);
     duration burst_length = seconds(6);
     duration length = seconds(26);
@@ -49,7 +52,6 @@
 
 constexpr std::size_t slot_count = 4;
 constexpr std::size_t queue_limit = 16;
-constexpr std::size_t entry_count = 40;
 constexpr milliseconds one_way(1);
 constexpr milliseconds tick_interval(5);
 const time_point start{std::chrono::hours(1)};
@@ -72,11 +74,11 @@
         }
     };
 
-    explicit overload_replay(const replay_options& it) : options(it)
+    explicit overload_replay(const replay_options& it) : options(it), random(it.seed)
     {
         kinds = {{"urgent", it.urgent_callers, 0.35, milliseconds(400)},
                  {"usual", 80, 0.1, milliseconds(800)},
-                 {"batch", 340, 0.05, milliseconds(1500)}};
+                 {"batch", it.batch_callers, 0.05, milliseconds(1500)}};
         auto state = std::make_shared<registry>();
         state->index = 1;
         state->declared.version = 1;
@@ -108,18 +110,20 @@
                                  .failure_domain = "d",
                                  .slots = static_cast<int>(slot_count)});
         }
-        for (std::size_t n = 0; n < entry_count; ++n) {
+        for (std::size_t n = 0; n < it.entry_count; ++n) {
             entries.push_back(make_entry());
             entries[n]->on_configuration();
-            entries[n]->on_instructions({.entry_count = entry_count,
+            entries[n]->on_instructions({.entry_count = static_cast<std::uint32_t>(it.entry_count),
                                          .directory_version = 1,
                                          .has_directory = true,
                                          .instances = directory});
-            at(start + tick_interval * n / entry_count, [this, n] { tick(n); });
+            at(start + tick_interval * static_cast<std::int64_t>(n) /
+                           static_cast<std::int64_t>(it.entry_count),
+               [this, n] { tick(n); });
         }
         for (caller_kind& kind : kinds) {
             for (int n = 0; n < kind.callers; ++n) {
-                const std::size_t entry = callers.size() % entry_count;
+                const std::size_t entry = callers.size() % it.entry_count;
                 const int customer = n % 8;
                 auto opened = entries[entry]->open_session(kind.database,
                                                            "key" + std::to_string(customer), [] {});
@@ -312,7 +316,7 @@
 
     replay_options options;
     time_point now = start;
-    std::mt19937 random{20261204};
+    std::mt19937 random;
     std::priority_queue<timed_event> events;
     std::uint64_t event_number = 0;
     std::uint64_t next_id = 0;
