--- a/base/event.h
+++ b/base/event.h
@@ -72,6 +72,9 @@
     statement_served = 6008,
     evacuation_in_force = 6009,
     evacuation_ended = 6010,
+    service_overloaded = 6012,
+    service_recovered = 6013,
+    statement_displaced = 6014,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
