Request missing prefetched tokens faster where demand is high

A customer's pool may have one token to give at a time, so an entry with real demand needs several requests to fill up. The interval is now divided by the number of missing tokens as well.

--- a/core/rates/token_cache.cpp
+++ b/core/rates/token_cache.cpp
@@ -64,14 +64,16 @@
            it.prefetched + 1 < prefetch_target(cache, it, options, now) / 2;
 }
 
-/// Time in which the entry's usual demand uses up one token. Asking more often for tokens that
-/// control does not have gains nothing; many entries that each hold one token of each customer
-/// would otherwise repeat their requests all the time.
+/// Time after which missing prefetched tokens are requested again. Control may have only one to
+/// give at a time: all that are missing then arrive in the time in which the usual demand uses up
+/// one. Without this, many entries that each want to hold one token of each customer, more than the
+/// burst allows, would repeat their requests all the time.
 duration prefetch_retry_interval(const token_cache& cache, const customer_token_cache& it,
                                  const token_cache_options& options, time_point now)
 {
     const std::uint32_t target = std::max(prefetch_target(cache, it, options, now), 1U);
-    return std::max(options.prefetch_duration / static_cast<std::int64_t>(target),
+    const std::uint32_t missing = target > it.prefetched ? target - it.prefetched : 1;
+    return std::max(options.prefetch_duration / (std::int64_t{target} * missing),
                     options.refill_interval);
 }
 
