--- a/entry/tests/lease_client_test.cpp
+++ b/entry/tests/lease_client_test.cpp
@@ -33,6 +33,16 @@
     int relayed_requests() const { return relayed_requests_; }
     /// Makes the grants lack the registry, as if the message with it had been lost.
     void withhold_registry(bool value) { withholds_registry_ = value; }
+    /// From now on the leader keeps reports and confirms them.
+    void confirm_reports() { confirms_reports_ = true; }
+    /// Loses all reports, as a new leader does.
+    void forget_reports() { forget_reports_ = true; }
+    /// Ignores renewals, as a build does that replaced this one on the same address.
+    void ignore_renewals() { ignores_renewals_ = true; }
+    int renewals() const { return renewals_; }
+    int full_requests() const { return full_requests_; }
+    /// Settled index in the newest report, received in full or rebuilt.
+    std::uint64_t settled_index() const { return settled_index_; }
 
 private:
     lease_grant grant_for(const lease_request& request) const
@@ -50,9 +60,21 @@
         if (!succeeded(decoded) || message.sender == cut_off_) {
             return;
         }
+        if (forget_reports_.exchange(false)) {
+            reports_.clear();
+        }
         if (const auto* it = std::get_if<lease_request>(&value_of(decoded))) {
-            node_.send(message.sender, fleet_channel::lease,
-                       encode_variant(lease_message(grant_for(*it))));
+            ++full_requests_;
+            settled_index_ = it->report.settled_index;
+            lease_grant grant = grant_for(*it);
+            if (confirms_reports_) {
+                record_full_report(reports_, *it);
+                grant.confirmed_report = it->report_number;
+            }
+            node_.send(message.sender, fleet_channel::lease, encode_variant(lease_message(grant)));
+        }
+        else if (const auto* renewal = std::get_if<lease_renewal>(&value_of(decoded))) {
+            receive(*renewal, message.sender);
         }
         else if (const auto* relayed = std::get_if<relayed_lease_request>(&value_of(decoded))) {
             ++relayed_requests_;
@@ -62,7 +84,32 @@
         }
     }
 
+    void receive(const lease_renewal& renewal, const std::string& sender)
+    {
+        if (ignores_renewals_) {
+            return;
+        }
+        const auto request = expand_renewal(reports_, renewal);
+        if (!request) {
+            node_.send(sender, fleet_channel::lease,
+                       encode_variant(lease_message(renewal_refused{renewal.incarnation})));
+            return;
+        }
+        ++renewals_;
+        settled_index_ = request->report.settled_index;
+        lease_grant grant = grant_for(*request);
+        grant.confirmed_report = request->report_number;
+        node_.send(sender, fleet_channel::lease, encode_variant(lease_message(grant)));
+    }
+
     fleet_node node_{{.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"}};
+    report_table reports_;
+    std::atomic<bool> confirms_reports_ = false;
+    std::atomic<bool> forget_reports_ = false;
+    std::atomic<bool> ignores_renewals_ = false;
+    std::atomic<int> renewals_ = 0;
+    std::atomic<int> full_requests_ = 0;
+    std::atomic<std::uint64_t> settled_index_ = 0;
     registry state_;
     std::string cut_off_;
     std::atomic<int> relayed_requests_ = 0;
@@ -81,8 +128,10 @@
         });
         REQUIRE(succeeded(res));
         owned_ = std::make_unique<lease_client>(
-            lease_client_options{.record = {.incarnation = 1, .address = node_.address()},
-                                 .control = {control}},
+            lease_client_options{
+                .record = {.incarnation = 1, .address = node_.address()},
+                .control = {control},
+                .make_report = [this] { return entry_report{.settled_index = ++reported_}; }},
             view_, node_);
         client_ = owned_.get();
     }
@@ -98,6 +147,7 @@
 private:
     fleet_node node_{{.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"}};
     entry_view view_;
+    std::uint64_t reported_ = 0;
     std::atomic<lease_client*> client_ = nullptr;
     std::unique_ptr<lease_client> owned_;
 };
@@ -148,3 +198,31 @@
     run_events(milliseconds(700));
     CHECK(entry.holds_lease());
 }
+
+TEST_CASE("an entry keeps its lease when its renewals are refused or ignored", "[lease]")
+{
+    // Guards against an entry that insists on differences from a report that control does not have,
+    // because its leader is new, or that it cannot read, because its build is older.
+    fake_leader leader;
+    fake_entry entry("entry", leader.address());
+    leader.add_entry("entry", entry.address());
+    leader.confirm_reports();
+    entry.start();
+    run_events(milliseconds(1800));
+    REQUIRE(entry.holds_lease());
+    CHECK(leader.renewals() >= 2);
+    CHECK(leader.full_requests() == 1);
+    CHECK(leader.settled_index() >= 3);
+    leader.forget_reports();
+    run_events(milliseconds(1300));
+    CHECK(entry.holds_lease());
+    CHECK(leader.full_requests() == 2);
+    const int renewals = leader.renewals();
+    leader.ignore_renewals();
+    for (int n = 0; n < 10; ++n) {
+        run_events(milliseconds(250));
+        CHECK(entry.holds_lease());
+    }
+    CHECK(leader.renewals() == renewals);
+    CHECK(leader.full_requests() > 3);
+}
