Send reads away from a slow home in the share at which both cost the same

Placement compared this entry's own slow latency average with fixed costs. With about one statement a second for each service, the entries of a region sent all reads away once that average had passed the cost of the crossing, and never found out that home had recovered.

core/routing/locality estimates the time of reads by distance, compares home with the cheapest other distance and the cost of the crossing, and moves the share in small steps with hysteresis. Home keeps a tenth of the reads and gets probes; old estimates approach the latency at rest. While home does not cost more, placement is as before, except that estimates of instances without a statement for 10 s decay.

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -1,6 +1,7 @@
 #include "apps/daemon_settings.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "base/settings_reader.h"
 #include "control/synced_file.h"
@@ -209,6 +210,20 @@
     return settings;
 }
 
+void read_placement(settings_reader in, session_service_options& sessions)
+{
+    placement_options& costs = sessions.placement;
+    costs.same_region_cost = in.time_span("same_region_cost", costs.same_region_cost);
+    costs.other_region_cost = in.time_span("other_region_cost", costs.other_region_cost);
+    locality_options& locality = sessions.locality;
+    locality.enabled = in.flag("spill", locality.enabled);
+    locality.same_region_round_trip =
+        in.time_span("same_region_round_trip", locality.same_region_round_trip);
+    locality.other_region_round_trip =
+        in.time_span("other_region_round_trip", locality.other_region_round_trip);
+    (void)in.finish();
+}
+
 statement_entry_settings read_statement_entry(settings_reader& root, common_settings common)
 {
     statement_entry_settings settings;
@@ -216,6 +231,8 @@
     entry.name = common.name;
     entry.sessions.failure_domain = root.text("failure_domain");
     entry.sessions.regions = root.text_map("regions");
+    read_placement(root.section("placement", false), entry.sessions);
+    entry.sessions.locality.seed = std::hash<std::string>{}(common.name);
     settings_reader statements = root.section("statements");
     entry.statements = statements.address("listen");
     (void)statements.finish();
--- a/base/event.h
+++ b/base/event.h
@@ -70,6 +70,10 @@
     session_refused = 6006,
     session_ended = 6007,
     statement_served = 6008,
+    instance_ejected = 6015,
+    instance_readmitted = 6016,
+    spill_started = 6017,
+    spill_ended = 6018,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -82,6 +82,7 @@
 {
     const duration before = pool.latency == duration{} ? options.initial_latency : pool.latency;
     pool.latency = before + scaled(latency - before, options.latency_weight);
+    pool.latency_recorded_at = now;
     record_reachable(pool, now);
 }
 
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -50,6 +50,8 @@
     std::uint64_t position_generation = 0;
     /// Moving average of the latency of statements; zero until the first one.
     duration latency{};
+    /// When the newest latency was recorded; the clock's epoch before the first statement.
+    time_point latency_recorded_at{};
     /// No statement is sent to the instance before this time.
     time_point backoff_until{};
     /// Backoff after the newest failure to reach the instance; zero once it has answered again.
--- a/pooling/service_state.h
+++ b/pooling/service_state.h
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "core/registry/primary_record.h"
+#include "core/routing/locality.h"
 #include "core/routing/position_history.h"
 #include "pooling/instance_pool.h"
 
@@ -25,6 +26,8 @@
     std::map<std::string, instance_pool> pools;
     /// Numbers of the sessions whose statements wait, in the order of service.
     std::map<queue_key, std::uint64_t> queue;
+    /// Which reads leave the nearest failure domain.
+    locality_state locality;
     /// Moving average of the time for which a statement holds a connection.
     duration mean_hold_time = milliseconds(20);
     /// Epoch of the newest primary record for which no work of an earlier record remains on this
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -10,6 +10,7 @@
 #include "core/queueing/admission.h"
 #include "core/rates/token_cache.h"
 #include "core/registry/registry.h"
+#include "core/routing/locality.h"
 #include "core/routing/placement.h"
 #include "fleet/entry_report.h"
 #include "pooling/caller_session.h"
@@ -56,6 +57,7 @@
     token_cache_options rates;
     pool_options pool;
     placement_options placement;
+    locality_options locality;
     admission_options admission;
     position_history_options positions;
 };
@@ -176,6 +178,29 @@
     /// Number of connections that this VM may have to the instance.
     connection_budget budget_for(const instance_pool& pool) const;
     proximity distance_to(const instance_pool& pool) const;
+
+    /// The instance that a statement runs on, and the distances at which it could have run.
+    struct chosen_instance {
+        std::string instance;
+        proximity_set available;
+    };
+    /// Latency estimate of the instance for placement.
+    duration latency_of(const instance_pool& pool, time_point now) const;
+    /// Chooses the instance for the pending statement; nothing if none has a connection available.
+    std::optional<chosen_instance> choose_instance(const caller_session& session,
+                                                   const service_state& service,
+                                                   time_point now) const;
+    void record_start(const caller_session& session, service_state& service,
+                      const chosen_instance& chosen, time_point now);
+    /// Records what the answer to a caller's statement says about the instance.
+    void record_request_answer(const caller_session& session, service_state& service,
+                               instance_pool& pool, const statement_answer& it, duration latency);
+    /// Records that the connection of a pending statement ended before its answer.
+    void record_lost_answer(const caller_session& session, service_state& service,
+                            const instance_pool& pool, time_point now);
+    /// Adapts the share of the reads that is sent away, and logs its start and end.
+    void step_placement(const std::string& name, service_state& service, time_point now);
+
     /// Predicted time until an instance can serve the pending statement; zero if one can now.
     duration blocked_for(const caller_session& session, const service_state& service,
                          time_point now) const;
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -50,7 +50,8 @@
         return;
     }
     if (pool != nullptr) {
-        record_latency(*pool, options_.pool, hooks_.now() - expected.sent_at, hooks_.now());
+        record_request_answer(*session, *service, *pool, instance_answer,
+                              hooks_.now() - expected.sent_at);
     }
     on_request_answer(*session, connection, instance_answer);
 }
@@ -336,6 +337,9 @@
         session->transaction->aborted = true;
         return;
     }
+    if (pool != nullptr) {
+        record_lost_answer(*session, *service, *pool, hooks_.now());
+    }
     pending_statement& pending = *session->pending;
     const bool dispatched = pending.attempts > 0;
     const bool repeatable =
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -111,19 +111,6 @@
     return connection_budget_for(accepted, share, options_.connections);
 }
 
-proximity session_service::distance_to(const instance_pool& pool) const
-{
-    const std::string& there = pool.heartbeat.failure_domain;
-    if (there == options_.failure_domain) {
-        return proximity::same_failure_domain;
-    }
-    const auto own = options_.regions.find(options_.failure_domain);
-    const auto other = options_.regions.find(there);
-    const bool same_region = own != options_.regions.end() && other != options_.regions.end() &&
-                             own->second == other->second;
-    return same_region ? proximity::same_region : proximity::other_region;
-}
-
 std::vector<placement_candidate> session_service::candidates(const caller_session& session,
                                                              const service_state& service,
                                                              time_point now) const
@@ -137,8 +124,7 @@
                            .availability = availability_of(pool, customer_of(session),
                                                            session.values, budget_for(pool), now),
                            .running = running_count(pool),
-                           .latency = pool.latency == duration{} ? options_.pool.initial_latency
-                                                                 : pool.latency});
+                           .latency = latency_of(pool, now)});
         }
     }
     return all;
@@ -150,12 +136,13 @@
     if (session.pending->attempts >= options_.max_attempts) {
         return false;
     }
-    const auto chosen = choose_placement(candidates(session, service, now), options_.placement);
+    const auto chosen = choose_instance(session, service, now);
     if (!chosen) {
         return false;
     }
     remove_from_queue(session);
-    start_on_instance(session, service, service.pools.at(*chosen));
+    record_start(session, service, *chosen, now);
+    start_on_instance(session, service, service.pools.at(chosen->instance));
     return true;
 }
 
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -258,6 +258,9 @@
                                                              "no connection became free in time"));
         }
         else {
+            if (const auto [service, pool] = find_pool(*transaction.connection); pool != nullptr) {
+                record_lost_answer(session, *service, *pool, now);
+            }
             fail_pending_statement(session, "the statement's limit was reached");
         }
         return;
@@ -333,6 +336,7 @@
     for (auto& [name, service] : services_) {
         update_settled_epoch(service, now);
         remove_missing_instances(service, now);
+        step_placement(name, service, now);
         for (auto& [instance, pool] : service.pools) {
             close_surplus_connections(pool);
         }
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -37,6 +37,8 @@
     int full_refusals = 0;
     int connections = 0;
     int reads = 0;
+    /// Time from a statement until its answer.
+    duration delay{};
 };
 
 /// The session service of one VM, with a service of three instances and a virtual clock.
@@ -48,6 +50,8 @@
         {"a", {.name = "a", .primary = true}}, {"b", {.name = "b"}}, {"c", {.name = "c"}}};
     std::vector<std::shared_ptr<fake_connection>> connections;
     std::deque<std::function<void()>> events;
+    /// Answers of slow instances, by the time at which they are due.
+    std::multimap<time_point, std::function<void()>> delayed;
     int reports = 0;
     bool control_answers = true;
     time_point answered_request_sent_at = start;
@@ -224,9 +228,18 @@
         connection->received.push_back(sent);
         statement_answer answer = run_at(instance, *connection, sent);
         answer.position = instance.position;
-        if (!instance.drops_answers && !instance.drops_all_output) {
+        if (instance.drops_answers || instance.drops_all_output) {
+            return;
+        }
+        if (instance.delay == duration{}) {
             connection->events.on_answer(answer);
+            return;
         }
+        delayed.emplace(now + instance.delay, [connection, answer] {
+            if (!connection->closed) {
+                connection->events.on_answer(answer);
+            }
+        });
     }
 
     /// Delivers all events that are queued.
@@ -245,6 +258,11 @@
         const time_point end = now + elapsed;
         while (now < end) {
             now += milliseconds(10);
+            while (!delayed.empty() && delayed.begin()->first <= now) {
+                const auto event = delayed.begin()->second;
+                delayed.erase(delayed.begin());
+                event();
+            }
             sessions.tick();
             deliver_events();
         }
@@ -840,3 +858,28 @@
     vm.advance_time(milliseconds(20));
     CHECK(is_success(vm.run(keyed, read_of("x"))));
 }
+
+// Guards against estimates that keep all reads at a slow home, or away from one that has recovered.
+TEST_CASE("reads leave a slow home in part and return once it has recovered", "[sessions]")
+{
+    vm_fixture vm;
+    const auto session = vm.open_session("bounded");
+    const auto reads_at_home = [&](int count) {
+        const int before = vm.instances["b"].reads;
+        for (int n = 0; n < count; ++n) {
+            CHECK(is_success(vm.run(session, read_of("x"))));
+            vm.advance_time(milliseconds(100));
+        }
+        return vm.instances["b"].reads - before;
+    };
+    // A few reads need the primary, whose position is the measure of the replicas' staleness.
+    CHECK(reads_at_home(50) > 40);
+    vm.instances["b"].delay = milliseconds(400);
+    (void)reads_at_home(100);
+    const int while_slow = reads_at_home(100);
+    CHECK(while_slow > 0);
+    CHECK(while_slow < 50);
+    vm.instances["b"].delay = duration{};
+    (void)reads_at_home(1000);
+    CHECK(reads_at_home(50) > 40);
+}
