--- a/base/event.h
+++ b/base/event.h
@@ -75,6 +75,8 @@
     service_overloaded = 6012,
     service_recovered = 6013,
     statement_displaced = 6014,
+    spill_started = 6017,
+    spill_ended = 6018,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
--- a/pooling/service_state.h
+++ b/pooling/service_state.h
@@ -9,6 +9,7 @@
 #include "core/queueing/return_schedule.h"
 #include "core/queueing/shedding.h"
 #include "core/registry/primary_record.h"
+#include "core/routing/locality.h"
 #include "core/routing/position_history.h"
 #include "pooling/instance_pool.h"
 
@@ -34,6 +35,8 @@
     std::map<std::string, instance_pool> pools;
     /// Numbers of the sessions whose statements wait.
     std::map<queue_key, std::uint64_t> queue;
+    /// Which reads leave the nearest failure domain.
+    locality_state locality;
     /// Moving average of the time for which a statement holds a connection.
     duration mean_hold_time = milliseconds(20);
     /// The same average by database, since each is another kind of work.
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -49,12 +49,9 @@
         on_set_up_answer(*session, connection, instance_answer, expected.purpose);
         return;
     }
-    if (pool != nullptr && error_code_of(instance_answer) == statement_error_code::busy) {
-        // The time of a refusal says nothing about the time of a statement.
-        record_reachable(*pool, hooks_.now());
-    }
-    else if (pool != nullptr) {
-        record_latency(*pool, options_.pool, hooks_.now() - expected.sent_at, hooks_.now());
+    if (pool != nullptr) {
+        record_request_answer(*session, *service, *pool, instance_answer,
+                              hooks_.now() - expected.sent_at);
     }
     on_request_answer(*session, connection, instance_answer);
 }
@@ -365,6 +362,9 @@
         session->transaction->aborted = true;
         return;
     }
+    if (pool != nullptr) {
+        record_lost_answer(*session, *service, *pool, hooks_.now());
+    }
     pending_statement& pending = *session->pending;
     const bool dispatched = pending.attempts > 0;
     const bool repeatable =
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -265,6 +265,9 @@
                            queue_timeout_retry_after);
         }
         else {
+            if (const auto [service, pool] = find_pool(*transaction.connection); pool != nullptr) {
+                record_lost_answer(session, *service, *pool, now);
+            }
             fail_pending_statement(session, "the statement's limit was reached");
         }
         return;
@@ -344,6 +347,7 @@
         update_settled_epoch(service, now);
         remove_missing_instances(service, now);
         expire_overload(name, service, now);
+        step_placement(name, service, now);
         for (auto& [instance, pool] : service.pools) {
             close_surplus_connections(pool);
         }
