--- a/control/tests/service_coordinator_test.cpp
+++ b/control/tests/service_coordinator_test.cpp
@@ -14,7 +14,7 @@
     state.declared.services["registre"] = {};
     lease_table leases{.leases = {}, .leading_since = start};
     std::vector<change_primary> proposed;
-    service_coordinator coordinator({}, {}, [&](const registry_command& it) {
+    service_coordinator coordinator({}, {}, {}, [&](const registry_command& it) {
         proposed.push_back(std::get<change_primary>(it));
         apply(state, state.index + 1, it);
     });
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -252,9 +252,6 @@
     /// Adapts the share of the reads that is sent away, and logs its start and end.
     void step_placement(const std::string& name, service_state& service, time_point now);
 
-    /// Predicted time until an instance can serve the pending statement; zero if one can now.
-    duration blocked_for(const caller_session& session, const service_state& service,
-                         time_point now) const;
     /// Sends the pending statement to an instance. False if no instance has a connection available
     /// or the attempts are used up.
     bool dispatch(caller_session& session, service_state& service);
