--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -256,7 +256,7 @@
     std::atomic<std::size_t> update_bytes = 0;
     std::atomic<bool> has_snapshot = false;
     fleet_node entry({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
-    REQUIRE(succeeded(entry.start([&](fleet_message message) {
+    REQUIRE(succeeded(entry.start([&](const fleet_message& message) {
         const auto decoded = decode_variant<lease_message>(message.body);
         const auto* const grant = succeeded(decoded)
                                       ? std::get_if<lease_grant>(&std::get<lease_message>(decoded))
--- a/core/tests/locality_test.cpp
+++ b/core/tests/locality_test.cpp
@@ -79,7 +79,7 @@
         const time_point done = instances.at(static_cast<std::size_t>(away ? other : entry.region))
                                     .run(now + trip, work) +
                                 trip;
-        answers.push({done, &entry, used, now});
+        answers_.push({done, &entry, used, now});
     }
 
     void run(duration elapsed)
@@ -90,9 +90,9 @@
         }
         const time_point end = now + elapsed;
         for (; now < end; now += milliseconds(10)) {
-            while (!answers.empty() && answers.top().at <= now) {
-                const answer it = answers.top();
-                answers.pop();
+            while (!answers_.empty() && answers_.top().at <= now) {
+                const answer it = answers_.top();
+                answers_.pop();
                 record_read_latency(it.entry->state, it.entry->options, it.used, it.at - it.sent_at,
                                     now);
                 if (it.entry->region == 0) {
@@ -140,7 +140,7 @@
         time_point sent_at;
         bool operator>(const answer& it) const { return at > it.at; }
     };
-    std::priority_queue<answer, std::vector<answer>, std::greater<>> answers;
+    std::priority_queue<answer, std::vector<answer>, std::greater<>> answers_;
 };
 
 }  // namespace
--- a/core/tests/queueing_test.cpp
+++ b/core/tests/queueing_test.cpp
@@ -83,6 +83,7 @@
 TEST_CASE("waiting statements are served by urgency, lateness, excess and arrival", "[queueing]")
 {
     std::vector<waiting_statement> all;
+    all.reserve(5);
     for (std::uint64_t n = 0; n < 5; ++n) {
         all.push_back(waiting(n, n == 0 ? 2 : 1));
     }
@@ -90,6 +91,7 @@
     all[2].excess = 1;
     sort_for_service(all, {}, start);
     std::vector<std::uint64_t> order;
+    order.reserve(all.size());
     for (const waiting_statement& it : all) {
         order.push_back(it.number);
     }
--- a/fleet/tests/fleet_node_test.cpp
+++ b/fleet/tests/fleet_node_test.cpp
@@ -70,9 +70,9 @@
         sockaddr_in address{.sin_family = AF_INET};
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
-        ::bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
-        ::listen(listener_, 0);
-        ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        REQUIRE(::bind(listener_, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(::listen(listener_, 0) == 0);
+        REQUIRE(::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
         port_ = ntohs(address.sin_port);
         for (int& it : clients_) {
             it = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
@@ -175,14 +175,14 @@
     unresponsive_port starting;
     const std::string address = "127.0.0.1:" + std::to_string(starting.port());
     fleet_node sender({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
-    REQUIRE(succeeded(sender.start([](fleet_message) {})));
+    REQUIRE(succeeded(sender.start([](const fleet_message&) {})));
     sender.send(address, fleet_channel::lease, "first");
     process_events_for(milliseconds(100));
     starting.close();
 
     std::atomic<int> received = 0;
     fleet_node peer({.listen = {"127.0.0.1", starting.port()}, .secret = "secret-of-the-test"});
-    REQUIRE(succeeded(peer.start([&](fleet_message) { ++received; })));
+    REQUIRE(succeeded(peer.start([&](const fleet_message&) { ++received; })));
     // The operating system repeats the dropped packet a second after it was sent.
     const time_point end = monotonic_clock::now() + milliseconds(600);
     while (received == 0 && monotonic_clock::now() < end) {
