Elect a leader at once when the last one is known to have stopped

Cause: a member that starts cannot know whether it answered a leader just before, and waits until that leader's leadership must have ended. Ruled out: slow disks and lost votes (the log shows the first request for votes only after the timeout).

Change: a member saves which leader it answered last, and in which term. A member that asks for votes in a later term than the one that it led never leads that term again, so its request for a pre-vote ends the wait of all others. A pre-vote leaves its candidate time to ask for the vote. The new leader tells the registered entries that it leads, instead of waiting for their next request to all members.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -203,15 +203,15 @@
             [&](const save_vote& it) { saved = storage_.write(it); },
             [&](const save_entries& it) { saved = storage_.write(it); },
             [&](const save_snapshot& it) {
-                saved =
-                    storage_.write_snapshot(it.snapshot, {consensus_->term, consensus_->voted_for},
-                                            consensus_->log.entries);
+                saved = storage_.write_snapshot(
+                    it.snapshot, {consensus_->term, consensus_->voted_for, consensus_->last_leader},
+                    consensus_->log.entries);
                 log_event(event_id::snapshot_saved, {{"index", std::to_string(it.snapshot.index)}});
             },
             [&](const adopt_snapshot& it) {
-                saved =
-                    storage_.write_snapshot(it.snapshot, {consensus_->term, consensus_->voted_for},
-                                            consensus_->log.entries);
+                saved = storage_.write_snapshot(
+                    it.snapshot, {consensus_->term, consensus_->voted_for, consensus_->last_leader},
+                    consensus_->log.entries);
                 auto decoded = decode<registry>(it.snapshot.state);
                 if (succeeded(decoded)) {
                     registry_ = std::move(value_of(decoded));
@@ -431,7 +431,7 @@
     fleet_.send(address, fleet_channel::lease, encode_variant(message));
 }
 
-void control_service::send_not_leader(const std::string& address)
+void control_service::send_leader_hint(const std::string& address)
 {
     send_message(address, not_leader{leader_address()});
 }
@@ -441,7 +441,7 @@
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
-        send_not_leader(sender);
+        send_leader_hint(sender);
         return;
     }
     const auto known = registry_.entries.find(it.entry);
@@ -611,7 +611,7 @@
 {
     const time_point now = monotonic_clock::now();
     if (!holds_leadership(*consensus_, now)) {
-        send_not_leader(sender);
+        send_leader_hint(sender);
         return;
     }
     send_message(sender, coordinator_.grant_rate_tokens(registry_, it, now));
@@ -874,12 +874,24 @@
     }
 }
 
+void control_service::announce_leadership()
+{
+    if (announced_term_ == consensus_->term) {
+        return;
+    }
+    announced_term_ = consensus_->term;
+    for (const auto& [name, it] : registry_.entries) {
+        send_leader_hint(it.address);
+    }
+}
+
 void control_service::run_leader_tasks()
 {
     const time_point now = monotonic_clock::now();
     if (!consensus_ || !holds_leadership(*consensus_, now)) {
         return;
     }
+    announce_leadership();
     finish_preset_switch(now);
     if (coordinates_services_) {
         coordinator_.advance_services(make_coordinator_view(), now);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -182,7 +182,7 @@
     void send_grant(const std::string& address, const std::string& origin,
                     const lease_grant& grant);
     void send_message(const std::string& address, const lease_message& message);
-    void send_not_leader(const std::string& address);
+    void send_leader_hint(const std::string& address);
     void add_submission(std::string command, submit_handler on_done);
     /// Passes a submission to the leader, which may be this member. Does nothing if none is known.
     void dispatch_submission(std::uint64_t id, submission& it, time_point now);
@@ -202,6 +202,8 @@
     const std::string& compressed_registry() const;
     /// Sends registry and directory changes to all entries with a lease.
     void push_configuration();
+    /// Tells the registered entries once who leads, so that they need not ask every member.
+    void announce_leadership();
     /// Periodic work of the leader; does nothing on other members.
     void run_leader_tasks();
     void expire_entries(time_point now);
@@ -245,6 +247,8 @@
     time_point next_directory_push_at_{};
     /// True if the registry changed since the last push to the entries.
     bool push_due_ = false;
+    /// Term in which this member last announced its leadership.
+    std::uint64_t announced_term_ = 0;
     /// Large updates that entries have not yet confirmed.
     std::map<replica_id, pending_transfer> transfers_;
     /// Cached result of compressed_registry() and the registry index that it belongs to.
--- a/control/control_service_renewals.cpp
+++ b/control/control_service_renewals.cpp
@@ -5,7 +5,7 @@
 void control_service::handle(const lease_renewal& it, const std::string& sender)
 {
     if (!holds_leadership(*consensus_, monotonic_clock::now())) {
-        send_not_leader(sender);
+        send_leader_hint(sender);
         return;
     }
     const std::optional<lease_request> request = expand_renewal(reports_, it);
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -21,8 +21,16 @@
 struct vote_record {
     std::uint64_t term = 0;
     std::string voted_for;
-    MSGPACK_DEFINE(term, voted_for)
+    std::string last_leader;
+    std::uint64_t last_leader_term = 0;
+    MSGPACK_DEFINE(term, voted_for, last_leader, last_leader_term)
 };
+
+vote_record to_record(const save_vote& it)
+{
+    return {it.term, it.voted_for, it.last_leader.name, it.last_leader.term};
+}
+
 struct entries_record {
     std::uint64_t first_index = 0;
     std::vector<log_entry> entries;
@@ -56,6 +64,7 @@
     if (auto* vote = std::get_if<vote_record>(&record)) {
         stored.term = vote->term;
         stored.voted_for = vote->voted_for;
+        stored.last_leader = {vote->last_leader, vote->last_leader_term};
         return true;
     }
     if (auto* snapshot = std::get_if<log_snapshot>(&record)) {
@@ -233,7 +242,7 @@
 
 outcome<std::monostate> log_storage::write(const save_vote& action)
 {
-    return append_record(frame_record(vote_record{action.term, action.voted_for}));
+    return append_record(frame_record(to_record(action)));
 }
 
 outcome<std::monostate> log_storage::write(const save_entries& action)
@@ -245,7 +254,7 @@
                                                     const save_vote& vote,
                                                     const std::vector<log_entry>& entries_after)
 {
-    std::string log = frame_record(snapshot) + frame_record(vote_record{vote.term, vote.voted_for});
+    std::string log = frame_record(snapshot) + frame_record(to_record(vote));
     if (!entries_after.empty()) {
         log += frame_record(entries_record{entries_after.front().index, entries_after});
     }
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -4,6 +4,7 @@
 
 #include "base/codec.h"
 #include "base/invariant.h"
+#include "core/consensus/leader_contact.h"
 
 namespace balsamdrift {
 namespace {
@@ -21,7 +22,8 @@
 {
     const duration jitter =
         random_between(state.random, duration{0}, state.options.election_jitter);
-    state.next_election_at = now + state.options.election_timeout + jitter;
+    state.next_election_at =
+        early_election_at(state, now).value_or(now + state.options.election_timeout + jitter);
 }
 
 void send(actions& out, const voter& to, consensus_message message)
@@ -66,13 +68,18 @@
     out.push_back(send_to_member{to, address_of(state, to), std::move(message)});
 }
 
+void save_vote_state(const consensus_state& state, actions& out)
+{
+    out.push_back(save_vote{state.term, state.voted_for, state.last_leader});
+}
+
 void adopt_term(consensus_state& state, actions& out, std::uint64_t term)
 {
     BALSAMDRIFT_INVARIANT(term > state.term);
     state.term = term;
     state.voted_for.clear();
     state.leader.reset();
-    out.push_back(save_vote{state.term, state.voted_for});
+    save_vote_state(state, out);
 }
 
 void become_follower(consensus_state& state, actions& out, time_point now)
@@ -289,6 +296,9 @@
     }
     state.next_heartbeat_at = now + state.options.heartbeat_interval;
     state.next_election_at = now + state.options.election_timeout;
+    if (record_leader(state, state.options.self.name, now)) {
+        save_vote_state(state, out);
+    }
     out.push_back(leadership_changed{true, state.term});
     append_to_own_log(state, out, {log_entry{.kind = entry_kind::no_op}});
     advance_commit(state, out);
@@ -302,7 +312,7 @@
         ++state.term;
         state.voted_for = state.options.self.name;
         state.leader.reset();
-        out.push_back(save_vote{state.term, state.voted_for});
+        save_vote_state(state, out);
     }
     state.votes = {state.options.self.name};
     reset_election_timer(state, now);
@@ -319,6 +329,10 @@
         return;
     }
     if (state.role == consensus_role::pre_candidate) {
+        // The own vote counts like any other.
+        if (may_have_leader(state, now)) {
+            return;
+        }
         start_election(state, out, false, now);
         count_votes(state, out, now);
     }
@@ -431,11 +445,6 @@
     count_votes(state, out, now);
 }
 
-bool had_recent_leader_contact(const consensus_state& state, time_point now)
-{
-    return now - state.last_leader_contact < state.options.election_timeout;
-}
-
 void on_tick(consensus_state& state, actions& out, time_point now)
 {
     if (state.role == consensus_role::leader) {
@@ -444,7 +453,7 @@
     }
     if (!is_voter(state)) {
         // The leader that this member follows knows it already, so no hello is needed.
-        const bool follows = state.leader && had_recent_leader_contact(state, now);
+        const bool follows = state.leader && may_have_leader(state, now);
         if (now >= state.next_hello_at && !follows) {
             send_hello(state, out, now);
             try_formation(state, out, now);
@@ -501,15 +510,23 @@
     // A voter that was replaced while it was unreachable does not know that it has no vote any
     // more. It is brought up to date again, at first without a vote.
     start_joining(state, from, address_of(state, from));
+    if (record_candidate(state, from.name, message) && state.role == consensus_role::follower) {
+        state.early_elections_until = now + state.options.election_timeout;
+        reset_election_timer(state, now);
+    }
     // A member that leads or recently had contact to a leader grants no vote, so that a member that
     // receives nothing from the leader does not disrupt it.
     const bool has_live_leader =
-        had_recent_leader_contact(state, now) || state.role == consensus_role::leader;
+        may_have_leader(state, now) || state.role == consensus_role::leader;
     const bool log_up_to_date =
         message.last_term > last_term(state.log) ||
         (message.last_term == last_term(state.log) && message.last_index >= last_index(state.log));
     if (message.pre_vote) {
         const bool granted = !has_live_leader && log_up_to_date && message.term > state.term;
+        if (granted) {
+            // Leaves the candidate time to ask for the vote itself.
+            reset_election_timer(state, now);
+        }
         reply(state, out, from, vote_reply{message.term, granted, true});
         return;
     }
@@ -525,7 +542,7 @@
     const bool granted = vote_available && log_up_to_date;
     if (granted) {
         state.voted_for = from.name;
-        out.push_back(save_vote{state.term, state.voted_for});
+        save_vote_state(state, out);
         reset_election_timer(state, now);
     }
     reply(state, out, from, vote_reply{state.term, granted, false});
@@ -560,9 +577,11 @@
     if (term > state.term) {
         adopt_term(state, out, term);
     }
+    if (record_leader(state, from.name, now)) {
+        save_vote_state(state, out);
+    }
     become_follower(state, out, now);
     state.leader = from;
-    state.last_leader_contact = now;
     return true;
 }
 
@@ -739,14 +758,22 @@
     consensus_state state{.options = options,
                           .term = stored.term,
                           .voted_for = std::move(stored.voted_for),
+                          .last_leader = std::move(stored.last_leader),
                           .log = std::move(stored.log)};
     state.random.seed(options.random_seed);
     state.commit_index = state.log.snapshot.index;
     state.applied_index = state.log.snapshot.index;
     state.members = effective_membership(state.log);
     state.last_leader_contact = now;
+    // A new data folder has never answered a leader.
+    state.last_leader_stopped = state.term == 0 || state.last_leader.name == options.self.name;
     state.hello_nonce = state.random();
+    state.early_elections_until = now + options.election_timeout;
     reset_election_timer(state, now);
+    if (state.last_leader_stopped) {
+        // The request tells the others, too, that this member no longer leads.
+        state.next_election_at = now;
+    }
     return state;
 }
 
--- a/core/consensus/consensus_action.h
+++ b/core/consensus/consensus_action.h
@@ -6,13 +6,16 @@
 #include <vector>
 
 #include "core/consensus/consensus_message.h"
+#include "core/consensus/known_leader.h"
 
 namespace balsamdrift {
 
-/// Saves the term and vote. Must be on disk before any later action is carried out.
+/// Saves the term, the vote and the last leader. Must be on disk before any later action is carried
+/// out.
 struct save_vote {
     std::uint64_t term = 0;
     std::string voted_for;
+    known_leader last_leader;
 };
 
 /// Drops the stored entries from `first_index` on and appends `entries`. Must be on disk before any
--- a/core/consensus/consensus_state.h
+++ b/core/consensus/consensus_state.h
@@ -9,6 +9,7 @@
 
 #include "base/random.h"
 #include "base/time.h"
+#include "core/consensus/known_leader.h"
 #include "core/consensus/replicated_log.h"
 
 namespace balsamdrift {
@@ -68,6 +69,8 @@
     /// Saved: the current term, and the name of the member that got this member's vote in it.
     std::uint64_t term = 0;
     std::string voted_for;
+    /// Saved: the newest leader that this member answered, or this member itself.
+    known_leader last_leader;
     /// Saved: the log.
     replicated_log log;
     /// The membership in use: the newest in the log, whether committed or not.
@@ -81,6 +84,10 @@
     /// When this member last received a message of a leader. Starts as the start time of the
     /// process: it may have received one just before its restart.
     time_point last_leader_contact{};
+    /// True if the last leader is known to lead its term no longer.
+    bool last_leader_stopped = false;
+    /// Until when this member asks for votes without waiting for an election timeout.
+    time_point early_elections_until{};
     /// When this member starts the next election; on a leader, the time from which missing answers
     /// of a quorum make it step down.
     time_point next_election_at{};
@@ -111,6 +118,7 @@
 struct stored_consensus {
     std::uint64_t term = 0;
     std::string voted_for;
+    known_leader last_leader;
     replicated_log log;
 };
 
--- a/core/tests/consensus_fixture.h
+++ b/core/tests/consensus_fixture.h
@@ -184,6 +184,7 @@
                 [&](const save_vote& it) {
                     disk.term = it.term;
                     disk.voted_for = it.voted_for;
+                    disk.last_leader = it.last_leader;
                 },
                 [&](const save_entries& it) {
                     truncate_from(disk.log, it.first_index);
--- a/core/tests/consensus_test.cpp
+++ b/core/tests/consensus_test.cpp
@@ -226,6 +226,68 @@
 
 // Compares the members with a simple model: one list of all commands that any member ever applied.
 // At any time, the list that a member applied must be a prefix of the model or extend it.
+TEST_CASE("members that all restart elect a leader without waiting for an election timeout",
+          "[consensus]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        consensus_fixture cluster({"a", "b", "c", "d", "e"}, seed,
+                                  {.seeds = 3, .disks_lost_at_once = 2});
+        cluster.run(seconds(5));
+        REQUIRE(cluster.leader());
+        const duration timeout = cluster.member("a").options.election_timeout;
+        // The members start at different times, as VMs do after a loss of power.
+        random_engine random(seed);
+        for (const char* name : {"a", "b", "c", "d", "e"}) {
+            cluster.stop(name);
+        }
+        cluster.run(seconds(1));
+        for (const char* name : {"d", "b", "e", "a", "c"}) {
+            cluster.start(name);
+            cluster.run(random_between(random, milliseconds(0), milliseconds(60)));
+        }
+        cluster.run(timeout / 2);
+        INFO("seed " << seed);
+        CHECK(cluster.leader());
+    }
+}
+
+TEST_CASE("a leader that restarts at once is replaced without waiting for an election timeout",
+          "[consensus]")
+{
+    consensus_fixture cluster(three_members);
+    cluster.run(seconds(5));
+    REQUIRE(cluster.leader());
+    const std::string leader = *cluster.leader();
+    cluster.stop(leader);
+    cluster.start(leader);
+    cluster.run(cluster.member(leader).options.election_timeout / 2);
+    CHECK(cluster.leader());
+}
+
+TEST_CASE("members that restart elect no leader beside one that they answered before",
+          "[consensus]")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        consensus_fixture cluster({"a", "b", "c", "d", "e"}, seed,
+                                  {.seeds = 3, .disks_lost_at_once = 2});
+        cluster.run(seconds(5));
+        REQUIRE(cluster.leader());
+        const std::string leader = *cluster.leader();
+        cluster.isolate(leader);
+        for (const char* name : {"a", "b", "c", "d", "e"}) {
+            if (name != leader) {
+                cluster.stop(name);
+                cluster.start(name);
+            }
+        }
+        INFO("seed " << seed);
+        for (int n = 0; n < 200; ++n) {
+            cluster.run(milliseconds(5));
+            REQUIRE(cluster.count_leaders() <= 1);
+        }
+    }
+}
+
 TEST_CASE("random faults neither lose committed commands nor make members diverge", "[consensus]")
 {
     rc::prop("all members apply the same list of commands", [] {
