Keep a reserve of each customer's headroom for the next control leader

Cause: a new leader presumes that earlier leaders granted every token, and starts with none, while the callers of a second or more return at once.

Change: a part of the headroom that the window allows beyond the customer's burst is granted by a new leader only. The registry records the term that used it, before it is used; it is whole again a window and a margin later. So no window holds more than before, whichever leaders replace each other.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -35,6 +35,7 @@
     tokens_ = {.customers = {}, .leading_since = now};
     warmup_ = {.leading_since = now, .term = term};
     term_ = term;
+    proposed_reserve_term_.reset();
 }
 
 std::uint64_t service_coordinator::directory_version() const
@@ -163,6 +164,8 @@
                                                         time_point now)
 {
     record_entry_contact(tokens_, request.entry.name, request.isolated, now);
+    tokens_.reserve_usable = may_use_reserve(rate_options_.reserve, state.rate_reserve_term, term_,
+                                             tokens_.leading_since, now);
     if (is_granted_fraction_due(tokens_, now)) {
         std::vector<std::string> registered;
         registered.reserve(state.entries.size());
@@ -188,9 +191,21 @@
     return grant;
 }
 
+void service_coordinator::record_reserve_use(const registry& state, time_point now)
+{
+    const auto term = reserve_term_to_record(rate_options_.reserve, state.rate_reserve_term, term_,
+                                             rate_options_.window, tokens_.leading_since, now);
+    if (!term || proposed_reserve_term_ == term) {
+        return;
+    }
+    proposed_reserve_term_ = term;
+    propose_(record_rate_reserve{state.rate_reserve_term, *term});
+}
+
 void service_coordinator::advance_services(const coordinator_view& view, time_point now)
 {
     remove_expired_instances(directory_, {}, now);
+    record_reserve_use(view.state, now);
     std::map<std::string, std::vector<known_instance>> instances;
     for (const auto& [name, it] : directory_.instances) {
         known_instance& listed = instances[it.last_heartbeat.service].emplace_back(it);
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -72,6 +72,9 @@
     void fill_directory(entry_instructions& instructions, std::uint64_t known_version) const;
 
 private:
+    /// Proposes to record that this leader uses the reserve of the customers' rates, or that the
+    /// reserve is whole again.
+    void record_reserve_use(const registry& state, time_point now);
     void advance_service(const coordinator_view& view, const std::string& service,
                          const declared_service& declared, std::vector<known_instance> instances,
                          time_point now);
@@ -91,6 +94,8 @@
     std::map<std::string, primary_change_state> primary_changes_;
     token_pool_options rate_options_;
     token_pool tokens_;
+    /// The newest term of a reserve's use that this leader proposed.
+    std::optional<std::uint64_t> proposed_reserve_term_;
     share_table connection_shares_;
     /// The connections of each instance, as of the directory and configuration versions below.
     std::map<std::string, divided_resource> divided_connections_;
--- a/control/tests/service_coordinator_test.cpp
+++ b/control/tests/service_coordinator_test.cpp
@@ -15,7 +15,9 @@
     lease_table leases{.leases = {}, .leading_since = start};
     std::vector<change_primary> proposed;
     service_coordinator coordinator({}, {}, {}, [&](const registry_command& it) {
-        proposed.push_back(std::get<change_primary>(it));
+        if (const auto* const change = std::get_if<change_primary>(&it)) {
+            proposed.push_back(*change);
+        }
         apply(state, state.index + 1, it);
     });
     coordinator.reset(start, 1);
--- a/core/rates/token_pool.cpp
+++ b/core/rates/token_pool.cpp
@@ -14,12 +14,32 @@
 /// finite.
 constexpr double min_pool_rate = 0.01;
 
+/// Headroom of a window without the restart reserve.
+double granted_headroom(const token_pool_options& options, const bucket_limits& limits)
+{
+    const double headroom = window_headroom(options, limits);
+    return headroom - reserved_tokens(options.reserve, headroom, limits.burst);
+}
+
+/// Takes a token of the restart reserve. False if none may be used.
+bool take_reserved_token(const token_pool& pool, const token_pool_options& options,
+                         const bucket_limits& limits, customer_tokens& tokens)
+{
+    const double headroom = window_headroom(options, limits);
+    const double reserve = reserved_tokens(options.reserve, headroom, limits.burst);
+    if (!pool.reserve_usable || tokens.reserve_used + 1 > reserve) {
+        return false;
+    }
+    tokens.reserve_used += 1;
+    return true;
+}
+
 /// Limits of the pool's own bucket: the granted fraction of the rate, and the part of the headroom
 /// that is not available for prefetching.
 bucket_limits pool_limits(const token_pool_options& options, const bucket_limits& limits,
                           double granted_fraction)
 {
-    const double headroom = window_headroom(options, limits);
+    const double headroom = granted_headroom(options, limits);
     const double burst = std::max(headroom * (1 - options.prefetch_fraction), min_pool_burst);
     return {.rate = std::max(limits.rate * granted_fraction, min_pool_rate),
             .burst = std::max(std::min(burst, headroom), 1.0)};
@@ -32,7 +52,7 @@
                              const customer_token_request& request)
 {
     const double headroom =
-        std::floor(window_headroom(options, limits) - pool_limits(options, limits, 1).burst);
+        std::floor(granted_headroom(options, limits) - pool_limits(options, limits, 1).burst);
     const auto own = tokens.prefetched.find(entry);
     const entry_prefetch held = own == tokens.prefetched.end() ? entry_prefetch{} : own->second;
     const auto held_by_others = static_cast<double>(tokens.total_count - held.count);
@@ -126,7 +146,8 @@
     customer_token_grant grant;
     // Waiting callers come first: prefetched tokens are only needed while control is unavailable.
     while (grant.for_waiting < request.waiting) {
-        if (std::holds_alternative<token_refused>(take_token(tokens.bucket, now))) {
+        if (std::holds_alternative<token_refused>(take_token(tokens.bucket, now)) &&
+            !take_reserved_token(pool, options, limits, tokens)) {
             break;
         }
         ++grant.for_waiting;
--- a/core/rates/token_pool.h
+++ b/core/rates/token_pool.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "core/rates/restart_reserve.h"
 #include "core/rates/token_bucket.h"
 
 namespace balsamdrift {
@@ -54,6 +55,8 @@
     /// Fraction of the usable headroom that all entries together may prefetch. The rest is the
     /// burst of the pool's own bucket.
     double prefetch_fraction = 0.9;
+    /// The part of the usable headroom that is kept for a new leader.
+    restart_reserve_options reserve;
     /// The pool stops granting the share of an entry that was not in contact for this long, because
     /// the entry may be isolated and use that share itself. The entry starts to do so only after
     /// the longer `token_cache_options::isolation_timeout`, measured on its own clock.
@@ -93,6 +96,8 @@
     /// Entries whose callers did not all get a token, and the sum of their counts.
     std::map<std::string, entry_waiting> waiting;
     std::uint64_t total_waiting = 0;
+    /// Tokens of the restart reserve that this leader granted.
+    double reserve_used = 0;
     /// When expired tokens and waiting callers are next removed.
     time_point next_sweep_at{};
 };
@@ -100,12 +105,15 @@
 /// The rates of all customers, as the leader of control divides them among entries. In any window
 /// the entries use at most the tokens that they had prefetched at its beginning and those granted
 /// since, so the customer's limit holds whichever messages are lost. A new leader starts with empty
-/// buckets, because all tokens granted by earlier leaders are presumed used.
+/// buckets, because all tokens granted by earlier leaders are presumed used, and with the restart
+/// reserve, which none of them granted.
 struct token_pool {
     std::map<std::string, customer_tokens> customers;
     /// When this leader began to lead. Entries may hold tokens that an earlier leader granted until
     /// `prefetch_lifetime` after this.
     time_point leading_since{};
+    /// True while waiting callers may get tokens of the restart reserve.
+    bool reserve_usable = false;
     /// When each entry that receives control's answers was last in contact with control.
     std::map<std::string, time_point> last_contact;
     /// Fraction of each rate that the pool grants. The rest is used by isolated entries.
@@ -128,7 +136,7 @@
                              const std::vector<std::string>& registered, time_point now);
 
 /// Number of operations beyond the customer's rate that are allowed in a window, and that the
-/// pool's bucket and the prefetched tokens may therefore hold together.
+/// pool's bucket, the prefetched tokens and the restart reserve may therefore hold together.
 double window_headroom(const token_pool_options& options, const bucket_limits& limits);
 
 /// Grants an entry tokens of one customer. Waiting callers take precedence over prefetching.
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -339,6 +339,15 @@
     return accepted(0);
 }
 
+change_result apply_command(registry& state, const record_rate_reserve& it)
+{
+    if (state.rate_reserve_term != it.expected_term) {
+        return {change_status::fenced, 0, "another leader has recorded its use of the reserve"};
+    }
+    state.rate_reserve_term = it.term;
+    return accepted(0);
+}
+
 change_result apply_command(registry& state, const replace_declared& it)
 {
     if (it.configuration.version > state.declared.version) {
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -54,11 +54,14 @@
     /// Failure domains that an order of an operator has ever named. A repeated order for one of
     /// them is accepted like the first, even if nothing else knows the domain any more.
     std::set<std::string> ordered_domains;
+    /// Term of the control leader that used the reserve of the customers' rates
+    /// (core/rates/restart_reserve.h); zero while it is whole.
+    std::uint64_t rate_reserve_term = 0;
 
     bool operator==(const registry&) const = default;
     MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
                    results, result_order, declared, primaries, leaving, leaving_order,
-                   evacuated_domains, entry_domains, ordered_domains)
+                   evacuated_domains, entry_domains, ordered_domains, rate_reserve_term)
 };
 
 /// Applies the command at a log index. Deterministic, so that equal registries stay equal.
--- a/core/registry/registry_command.h
+++ b/core/registry/registry_command.h
@@ -194,12 +194,21 @@
     MSGPACK_DEFINE(service, expected_epoch, instance, phase, planned)
 };
 
+/// Records which leader used the reserve of the customers' rates, unless the record has changed in
+/// the meantime.
+struct record_rate_reserve {
+    std::uint64_t expected_term = 0;
+    /// Term of the leader that uses it; zero once it is whole again.
+    std::uint64_t term = 0;
+    MSGPACK_DEFINE(expected_term, term)
+};
+
 /// Any command in the control log.
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
                  release_item, record_primary, activate_preset, set_session_secret,
                  replace_declared, mark_leaving, change_primary, patch_declared, evacuate_domain,
-                 restore_domain>;
+                 restore_domain, record_rate_reserve>;
 
 /// Outcome of a command.
 enum class change_status : std::uint8_t {
--- a/core/tests/token_pool_test.cpp
+++ b/core/tests/token_pool_test.cpp
@@ -41,6 +41,25 @@
     time_point next_lease_renewal_at = start;
     milliseconds answer_delay{12};
     std::uint64_t next_caller = 1;
+    /// Term of the leader, and what the registry says of the reserve.
+    std::uint64_t term = 1;
+    std::uint64_t reserve_used_by_term = 0;
+
+    /// Another leader is elected, which does not know which tokens were granted.
+    void elect_leader()
+    {
+        pool = {.customers = {}, .leading_since = now};
+        ++term;
+    }
+
+    void update_reserve()
+    {
+        const auto recorded = reserve_term_to_record(options.reserve, reserve_used_by_term, term,
+                                                     options.window, pool.leading_since, now);
+        reserve_used_by_term = recorded.value_or(reserve_used_by_term);
+        pool.reserve_usable =
+            may_use_reserve(options.reserve, reserve_used_by_term, term, pool.leading_since, now);
+    }
 
     void record(const std::vector<token_decision>& decisions)
     {
@@ -75,6 +94,7 @@
         }
         record_entry_contact(pool, entry, is_isolated(cache, cache_options, now), now);
         update_pool();
+        update_reserve();
         customer_token_grants grants;
         for (const auto& [name, it] : requests) {
             grants[name] = grant_tokens(pool, options, name, limits, entry, it, now);
@@ -275,9 +295,8 @@
             }
             const int fault = *rc::gen::inRange(0, 60);
             if (fault == 0) {
-                // An election. The next leader does not know which tokens were granted.
-                fleet.now += milliseconds(600);
-                fleet.pool = {.customers = {}, .leading_since = fleet.now};
+                fleet.now += milliseconds(*rc::gen::inRange(0, 600));
+                fleet.elect_leader();
             }
             else if (fault == 2) {
                 // This entry loses contact with control, until another one does.
@@ -331,7 +350,7 @@
             }
             if (!fleet.control_up && fleet.now >= control_back_at) {
                 fleet.control_up = true;
-                fleet.pool = {.customers = {}, .leading_since = fleet.now};
+                fleet.elect_leader();
             }
             if (fault == 1 || fault == 2) {
                 fleet.without_contact.clear();
@@ -402,7 +421,7 @@
     for (int n = 0; n < 9; ++n) {
         fleet.entries["e" + std::to_string(n)];
     }
-    fleet.pool = {.customers = {}, .leading_since = fleet.now};
+    fleet.elect_leader();
     for (int n = 0; n < 65; ++n) {
         fleet.begin_operation("e" + std::to_string(n % 9));
         if (n % 7 == 6) {
@@ -418,6 +437,50 @@
     CHECK(fleet.busiest_window() <= fleet.allowed());
 }
 
+TEST_CASE("a leader that replaces one after a loss of all processes serves the callers it held up",
+          "[rates]")
+{
+    // The callers of one second return at once, and the usual load goes on. Each customer's rate
+    // is 1.6 times its usual load.
+    fleet_fixture fleet;
+    fleet.limits = {.rate = 80, .burst = 80};
+    for (int n = 0; n < 6; ++n) {
+        fleet.entries["e" + std::to_string(n)];
+    }
+    fleet.run_usual_load(seconds(20));
+    fleet.now += seconds(1);
+    for (auto& [name, it] : fleet.entries) {
+        it = {.request_number = it.request_number + 1'000'000};
+    }
+    fleet.answers.clear();
+    fleet.elect_leader();
+    const std::size_t admitted_before = fleet.admitted.size();
+    for (int n = 0; n < 50; ++n) {
+        fleet.begin_operation("e" + std::to_string(n % 6));
+    }
+    fleet.run_usual_load(milliseconds(500));
+    CHECK(fleet.refused == 0);
+    CHECK(fleet.admitted.size() - admitted_before >= 50);
+    CHECK(fleet.busiest_window() <= fleet.allowed());
+}
+
+TEST_CASE("leaders that replace each other use the restart reserve once in a window", "[rates]")
+{
+    // Guards against a customer that exceeds its limit because each new leader grants the reserve.
+    fleet_fixture fleet;
+    fleet.limits = {.rate = 40, .burst = 40};
+    for (int n = 0; n < 600; ++n) {
+        for (int caller = 0; caller < 10; ++caller) {
+            fleet.begin_operation("e" + std::to_string(caller % 3));
+        }
+        fleet.advance(milliseconds(50));
+        if (n % 12 == 0 || n == 300 || n == 460) {
+            fleet.elect_leader();
+        }
+    }
+    CHECK(fleet.busiest_window() <= fleet.allowed());
+}
+
 TEST_CASE("an answer to an earlier request is ignored", "[rates]")
 {
     token_cache cache;
