Share connections between sessions with different values

Cause: a connection with a value that the next session has not set was never used for it, since a value cannot be unset. The platform's protocol has DISCARD, which drops all values and prepared statements; nothing sent it.

Change: such a connection gets DISCARD and then the session's values, in one round trip, before the statement.

--- a/core/statements/statement.h
+++ b/core/statements/statement.h
@@ -26,6 +26,8 @@
     /// Runs a prepared statement.
     execute,
     deallocate,
+    /// Drops the values and prepared statements of a connection. Sent only by balsamdrift itself.
+    discard,
     /// Queries the role and position of an instance. Sent only by balsamdrift itself.
     status,
     /// Turns a primary of an older term into a replica. Sent only by balsamdrift itself.
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -7,17 +7,16 @@
 
 bool is_idle(const pooled_connection& it) { return it.session == 0; }
 
-/// True if each value in `held` is set to the same value in `wanted`.
-bool is_subset(const session_values& held, const session_values& wanted)
+}  // namespace
+
+bool must_discard(const pooled_connection& connection, const session_values& values)
 {
-    return std::all_of(held.begin(), held.end(), [&](const auto& value) {
-        const auto it = wanted.find(value.first);
-        return it != wanted.end() && it->second == value.second;
+    return std::any_of(connection.values.begin(), connection.values.end(), [&](const auto& held) {
+        const auto it = values.find(held.first);
+        return it == values.end() || it->second != held.second;
     });
 }
 
-}  // namespace
-
 int running_count(const instance_pool& pool)
 {
     return static_cast<int>(std::count_if(pool.connections.begin(), pool.connections.end(),
@@ -53,11 +52,14 @@
     pooled_connection_ptr best;
     std::size_t best_missing = 0;
     for (const pooled_connection_ptr& it : pool.connections) {
-        if (!is_idle(*it) || it->customer != customer || !is_subset(it->values, values)) {
+        if (!is_idle(*it) || it->customer != customer) {
             continue;
         }
-        const bool must_prepare = !prepared.empty() && !it->prepared.contains(prepared);
-        const std::size_t missing = values.size() - it->values.size() + (must_prepare ? 1 : 0);
+        const bool discards = must_discard(*it, values);
+        const bool must_prepare =
+            !prepared.empty() && (discards || !it->prepared.contains(prepared));
+        const std::size_t missing = values.size() + (must_prepare ? 1 : 0) + (discards ? 1 : 0) -
+                                    (discards ? 0 : it->values.size());
         if (best == nullptr || missing < best_missing) {
             best = it;
             best_missing = missing;
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -93,9 +93,13 @@
                                         const session_values& values,
                                         const connection_budget& budget, time_point now);
 
-/// Returns the idle connection that needs the fewest set-up statements for the session, or null. A
-/// connection with a value that the session has not set is never used, since a value cannot be
-/// unset. `prepared` is the shared name of the prepared statement to run; empty if there is none.
+/// True if the connection has a value that the session has not set to the same. A single value
+/// cannot be unset, so all values and prepared statements must be dropped before the session may
+/// use it.
+bool must_discard(const pooled_connection& connection, const session_values& values);
+
+/// Returns the customer's idle connection that needs the fewest set-up statements for the session,
+/// or null. `prepared` is the shared name of the prepared statement to run; empty if there is none.
 pooled_connection_ptr find_fitting_connection(const instance_pool& pool,
                                               const std::string& customer,
                                               const session_values& values,
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -219,6 +219,12 @@
 
 void session_service::set_up_connection(caller_session& session, pooled_connection& connection)
 {
+    if (must_discard(connection, session.values)) {
+        connection.values.clear();
+        connection.prepared.clear();
+        count_metric("balsamdrift_connection_resets_total");
+        send(connection, {.kind = statement_kind::discard}, answer_purpose::set_up);
+    }
     for (const auto& [name, value] : session.values) {
         const auto held = connection.values.find(name);
         if (held == connection.values.end() || held->second != value) {
