Divide four fifths of an instance's connections among the entries

Callers saw: 0.75 openings for each request, although sessions share connections now.

Cause: half of what an instance accepts was divided among the entries; an entry near a replica kept two or three connections for eight customers, and closed the others after each use.

Change: four fifths are divided, a fifth is left for borrowing.

--- a/core/rates/connection_budget.h
+++ b/core/rates/connection_budget.h
@@ -8,7 +8,7 @@
     int reserved = 2;
     /// Fraction of the other connections that are divided among the entries, which keep them open
     /// for later statements. The rest may be borrowed by any entry for the statements that run now.
-    double kept_fraction = 0.5;
+    double kept_fraction = 0.8;
     /// Number of connections that one entry may borrow from an instance at a time.
     int max_borrowed = 4;
 };
