Divide whole connections, rounded to the nearest number

Cause: an entry's part of an instance's connections was rounded down; of 17 divided among 9 entries before a primary, 9 to 12 were kept by anyone.

Change: the leader grants whole connections, rounded to the nearest number as long as some are free.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -111,7 +111,7 @@
             service == state.declared.services.end() ? 0 : service->second.connections;
         if (const int divided = divided_connections(accepted, {}); divided > 0) {
             divided_connections_[name] = {.usual_demand = typical_instance_load,
-                                          .min_share = 1.0 / divided};
+                                          .unit = 1.0 / divided};
         }
     }
 }
--- a/core/rates/connection_budget.cpp
+++ b/core/rates/connection_budget.cpp
@@ -4,6 +4,12 @@
 #include <cmath>
 
 namespace balsamdrift {
+namespace {
+
+/// Far above the rounding of a share times the connections of any instance, and far below one.
+constexpr double share_rounding_error = 0.001;
+
+}  // namespace
 
 int divided_connections(int accepted, const connection_budget_options& options)
 {
@@ -15,7 +21,9 @@
                                         const connection_budget_options& options)
 {
     const int usable = std::max(accepted - options.reserved, 1);
-    const int kept = static_cast<int>(divided_connections(accepted, options) * share);
+    // Shares of whole connections are slightly too small, because they are rounded down.
+    const int kept =
+        static_cast<int>(divided_connections(accepted, options) * share + share_rounding_error);
     return {.kept = kept, .in_use = std::min(kept + options.max_borrowed, usable)};
 }
 
--- a/core/rates/share_allocation.cpp
+++ b/core/rates/share_allocation.cpp
@@ -13,6 +13,9 @@
 /// Largest demand per second of one entry that is taken into account.
 constexpr double max_demand = 1e6;
 
+/// Bound of the error of dividing a share by a unit.
+constexpr double division_error = 1e-6;
+
 /// Shares and demands are rounded down to multiples of this, so that adding them to the running
 /// sums and subtracting them again is exact.
 constexpr double resolution = 1.0 / (1U << 24U);
@@ -77,6 +80,18 @@
     return sum > 0 ? weight / sum : 0;
 }
 
+/// The whole units that are nearest to the share, within the limit. Rounding to the nearest number
+/// leaves few units without use, as rounding down would.
+double whole_units(double share, double limit, double unit)
+{
+    if (unit <= 0) {
+        return std::min(share, limit);
+    }
+    // The shares of others are rounded down, so the limit is never below the units that are free.
+    const double free_units = std::floor(limit / unit + division_error);
+    return unit * std::min(std::round(share / unit), free_units);
+}
+
 /// Updates the entry's demand and the bounds of its shares from its request.
 void apply_request(entry_shares& it, std::uint64_t incarnation, const share_request& request,
                    time_point now)
@@ -141,9 +156,9 @@
         const double free = std::max(0.0, 1 - held_by_others);
         // Until the other entries have reported their shares, none is raised above an even share.
         const double limit = settled ? free : std::min(free, std::max(held, even_share));
-        const double share =
-            rounded(std::min(by_demand * (1 - options.reserved_fraction), limit), 1);
-        if (share > 0 && share >= resource.min_share) {
+        const double share = rounded(
+            whole_units(by_demand * (1 - options.reserved_fraction), limit, resource.unit), 1);
+        if (share > 0) {
             next.shares[name] = share;
         }
     }
--- a/core/rates/share_allocation.h
+++ b/core/rates/share_allocation.h
@@ -34,9 +34,10 @@
 struct divided_resource {
     /// Usual demand of all entries together.
     double usual_demand = 0;
-    /// Smaller shares are useless, for example because they are less than one connection. They are
-    /// not granted, so that grants stay short when there are many entries.
-    double min_share = 0;
+    /// Shares are multiples of this, for example one connection, because a part of it is useless.
+    /// Smaller shares are not granted, so that grants stay short when there are many entries. Zero
+    /// if every share is useful.
+    double unit = 0;
 };
 
 /// The shares of one entry process.
--- a/core/tests/share_allocation_test.cpp
+++ b/core/tests/share_allocation_test.cpp
@@ -1,6 +1,7 @@
 #include "core/rates/share_allocation.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <rapidcheck/catch.h>
 
 using namespace balsamdrift;
@@ -43,7 +44,8 @@
         share_table table{.leading_since = start};
         std::map<std::string, fake_entry> entries;
         time_point now = start;
-        const std::map<std::string, divided_resource> customers{{"agence", {.usual_demand = 100}}};
+        const std::map<std::string, divided_resource> customers{
+            {"agence", {.usual_demand = 100, .unit = *rc::gen::inRange(0, 2) == 0 ? 0 : 1.0 / 17}}};
         const int steps = *rc::gen::inRange(1, 200);
         for (int n = 0; n < steps; ++n) {
             const std::string name = "e" + std::to_string(*rc::gen::inRange(0, 6));
@@ -74,7 +76,7 @@
     share_table table{.leading_since = start};
     std::map<std::string, divided_resource> instances;
     for (int n = 0; n < 60; ++n) {
-        instances["i" + std::to_string(n)] = {.usual_demand = 40, .min_share = 1.0 / 106};
+        instances["i" + std::to_string(n)] = {.usual_demand = 40, .unit = 1.0 / 106};
     }
     time_point now = start;
     std::map<std::string, share_grant> held;
@@ -94,6 +96,34 @@
     CHECK(held["e0"].shares.at("i7") > 0.5);
 }
 
+TEST_CASE("entries with nearly equal demand keep all connections of an instance together",
+          "[rates]")
+{
+    // Guards against connections that nobody keeps, because every entry's part of one is rounded
+    // down: 9 entries, 17 connections.
+    share_table table{.leading_since = start};
+    const std::map<std::string, divided_resource> instances{
+        {"a", {.usual_demand = 40, .unit = 1.0 / 17}}};
+    time_point now = start;
+    std::map<std::string, share_grant> held;
+    for (int round = 0; round < 10; ++round) {
+        now += milliseconds(500);
+        for (int n = 0; n < 9; ++n) {
+            const std::string name = "e" + std::to_string(n);
+            held[name] = grant_shares(
+                table, {.reserved_fraction = 0}, name, 1,
+                {.demand = {{"a", 4.0 + 0.1 * n}}, .held = held[name], .measured = true}, instances,
+                9, now);
+        }
+    }
+    double kept = 0;
+    for (const auto& [name, it] : held) {
+        const auto share = it.shares.find("a");
+        kept += share == it.shares.end() ? 0 : std::round(share->second * 17);
+    }
+    CHECK(kept == 17);
+}
+
 TEST_CASE("shares held by entries never add up to more than the whole, even if grants are lost",
           "[rates]")
 {
@@ -101,7 +131,8 @@
         share_table table{.leading_since = start};
         std::map<std::string, fake_entry> entries;
         time_point now = start;
-        const std::map<std::string, divided_resource> customers{{"agence", {.usual_demand = 100}}};
+        const std::map<std::string, divided_resource> customers{
+            {"agence", {.usual_demand = 100, .unit = *rc::gen::inRange(0, 2) == 0 ? 0 : 1.0 / 17}}};
         const int steps = *rc::gen::inRange(1, 200);
         for (int n = 0; n < steps; ++n) {
             const std::string name = "e" + std::to_string(*rc::gen::inRange(0, 5));
