Borrow fewer connections from an instance that refuses them

Cause: an entry may borrow four connections of an instance. Nine entries with replicas that lag want 36 beyond the kept ones of one primary with three slots.

Change: a refused connection halves the number that the entry borrows from this instance; it grows by one a second.

--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -72,6 +72,8 @@
     time_point full_until{};
     /// Backoff after the newest refusal of that kind; zero once the instance accepted a connection.
     duration full_backoff{};
+    /// How many connections may be borrowed from the instance.
+    borrow_limit borrowing;
     /// When the instance last accepted a connection or answered a statement.
     time_point last_served_at{};
     /// When the instance last could not be reached, broke a connection, or, as the recorded
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -192,7 +192,10 @@
     const time_point now = hooks_.now();
     switch (code) {
         case statement_error_code::lagging: record_lagging(pool, options_.pool, now); break;
-        case statement_error_code::too_many: record_full(pool, options_.pool, now); break;
+        case statement_error_code::too_many:
+            record_full(pool, options_.pool, now);
+            record_refused_connection(pool.borrowing, options_.connections, now);
+            break;
         case statement_error_code::busy: record_overload(service, pool, priority); break;
         case statement_error_code::misrouted: record_unreachable(pool, options_.pool, now); break;
         case statement_error_code::read_only:
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -110,7 +110,9 @@
         // Control has granted nothing yet, and grants an even share first.
         share = 1.0 / std::max(entry_count_, 1U);
     }
-    return connection_budget_for(accepted, share, options_.connections);
+    return connection_budget_for(accepted, share,
+                                 borrowable(pool.borrowing, options_.connections, hooks_.now()),
+                                 options_.connections);
 }
 
 std::vector<placement_candidate> session_service::candidates(const caller_session& session,
