Dial a started peer anew at once, and end a replica's back-off by reads that test it

Callers saw: after a loss of power the leader was elected 0.45 s after the last leader's process had started, though every other member had asked it for votes. Cause: the members that started first had dialled it while its VM was down; their votes waited in that connection, which was dialled anew after 250 ms only.

Callers saw: 70 LAGGING answers a second of two replicas, each a round trip before the primary was asked. Cause: any read that a replica served ended its back-off, also one whose position it was known to have. Change: only a read that tests the position does.

--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -15,6 +15,7 @@
 #include "base/metrics.h"
 #include "base/sharded.h"
 #include "base/time.h"
+#include "fleet/connect_watch.h"
 #include "fleet/delivery_watch.h"
 #include "fleet/frame_codec.h"
 #include "fleet/traffic_counters.h"
@@ -28,17 +29,13 @@
 constexpr nng_duration reconnect_max_ms = 200;
 constexpr nng_duration receive_timeout_ms = 200;
 
-/// A connection that is not established within this time is dialled anew. The opening packet to a
-/// VM that is still starting is lost, and the operating system repeats it only after a second; this
-/// covers ten round trips between regions.
-constexpr milliseconds connect_timeout(250);
 constexpr std::size_t max_message_bytes = std::size_t{64} * 1024 * 1024;
 
 /// Outgoing connection to a peer.
 struct peer_socket {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     delivery_watch watch;
-    time_point dialed_at{};
+    connect_watch connecting;
     /// Set by a thread of nng once the connection has been established; later losses of it are
     /// found by `watch`.
     std::unique_ptr<std::atomic<bool>> established = std::make_unique<std::atomic<bool>>(false);
@@ -97,6 +94,7 @@
         const auto peer = shard.sockets.find(it.sender);
         if (peer != shard.sockets.end()) {
             record_confirmation(peer->second.watch, it.received_stamp);
+            peer->second.connecting.heard_at = monotonic_clock::now();
         }
     });
     on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
@@ -127,7 +125,7 @@
         nng_close(peer.socket);
         return false;
     }
-    peer.dialed_at = monotonic_clock::now();
+    record_dial(peer.connecting, monotonic_clock::now());
     return true;
 }
 
@@ -137,7 +135,7 @@
                                                       time_point now)
 {
     const bool connecting = !peer.established->load();
-    const bool connect_overdue = connecting && now - peer.dialed_at > connect_timeout;
+    const bool connect_overdue = connecting && is_dial_overdue(peer.connecting, {}, now);
     const bool unconfirmed = is_overdue(peer.watch, now);
     if (!connect_overdue && !unconfirmed) {
         return true;
@@ -149,7 +147,7 @@
     }
     count_metric("balsamdrift_fleet_reconnects_total");
     nng_close(peer.socket);
-    peer = {};
+    peer = {.connecting = connecting ? peer.connecting : connect_watch{}};
     return open_peer(address, peer);
 }
 
--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -68,6 +68,8 @@
     std::set<std::string> excluded;
     /// When the statement was last assigned to a connection.
     time_point dispatched_at{};
+    /// True if the replica was not known to have the position that the read requires.
+    bool tests_position = false;
     /// True once the statement itself, not only its set-up, was sent in the current attempt.
     bool request_sent = false;
 };
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -105,6 +105,12 @@
     pool.lagging_until = now + pool.lagging_backoff;
 }
 
+void record_caught_up(instance_pool& pool)
+{
+    pool.lagging_backoff = duration{};
+    pool.lagging_until = time_point{};
+}
+
 void record_full(instance_pool& pool, const pool_options& options, time_point now)
 {
     pool.full_backoff =
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -66,7 +66,8 @@
     instance_limit limit;
     /// Until this time the instance gets only reads whose position it is known to have.
     time_point lagging_until{};
-    /// Backoff after the newest refusal of that kind; zero once the instance served a read.
+    /// Backoff after the newest refusal of that kind; zero once the instance served a read whose
+    /// position it was not known to have.
     duration lagging_backoff{};
     /// Until this time no connection is opened, because the instance has too many.
     time_point full_until{};
@@ -120,6 +121,9 @@
 /// Records that the instance refused a read because it lags.
 void record_lagging(instance_pool& pool, const pool_options& options, time_point now);
 
+/// Records that the instance served a read whose position it was not known to have.
+void record_caught_up(instance_pool& pool);
+
 /// Records that the instance refused a connection because it has too many.
 void record_full(instance_pool& pool, const pool_options& options, time_point now);
 
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -143,7 +143,9 @@
 {
     if (is_success(instance_answer)) {
         if (instance_pool* const pool = find_pool(*connection).pool) {
-            pool->lagging_backoff = duration{};
+            if (session.pending->tests_position) {
+                record_caught_up(*pool);
+            }
             record_time_on_instance(session, services_[route_of(session).service], *pool);
         }
         on_success(session, instance_answer);
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -14,6 +14,13 @@
     return (it.writes ? "w_" : "r_") + it.text;
 }
 
+/// True if the instance is known to have applied the position of the current primary's log.
+bool has_position(const service_state& service, const instance_pool& pool,
+                  const log_position& position)
+{
+    return pool.position_generation == service.positions.generation && pool.position >= position;
+}
+
 /// Weight of the newest statement in the moving average of the time that a connection is held.
 constexpr double hold_time_weight = 0.05;
 
@@ -95,9 +102,7 @@
     if (!min_position) {
         return false;
     }
-    const bool comparable = pool.position_generation == service.positions.generation;
-    const bool fresh_enough = comparable && pool.position >= *min_position;
-    return fresh_enough || now >= pool.lagging_until;
+    return has_position(service, pool, *min_position) || now >= pool.lagging_until;
 }
 
 connection_budget session_service::budget_for(const instance_pool& pool) const
@@ -274,6 +279,7 @@
     pending.request.min_position.reset();
     const auto min_position =
         transaction.under_lease ? std::nullopt : min_position_for(session, service, now);
+    pending.tests_position = min_position && !has_position(service, pool, *min_position);
     set_up_connection(session, *connection);
     if (!is_single_statement(transaction)) {
         send(*connection,
