Let a new control leader start from the instances that the last one knew

Cause: the directory of instances is in the leader's memory only. A new leader, and entries that have just started, know no instance until its next heartbeat, every 1.2 s. The log shows the primaries announced 0.1 to 1.1 s after the leases.

Change: the leader records the directory's changes in the registry, at most every 500 ms. The next leader starts from the record, as if the heartbeats had just come. A recorded instance may be gone; connections name the instance that they want, so another one at its address refuses them, and it is removed when no heartbeat comes.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -11,6 +11,10 @@
 /// how large the shares of entries without demand are in relation to the others.
 constexpr double typical_instance_load = 40;
 
+/// Shortest interval between two records of the directory, so that the instances of a site that
+/// starts, or of a service that is released, are recorded together.
+constexpr milliseconds record_interval(500);
+
 /// Delay after which an entry requests tokens again for a customer that the leader does not know.
 constexpr milliseconds unknown_customer_retry(100);
 
@@ -28,6 +32,8 @@
 void service_coordinator::reset(time_point now, std::uint64_t term)
 {
     directory_ = {};
+    directory_restored_ = false;
+    recorded_directory_version_ = 0;
     primary_changes_.clear();
     connection_shares_ = {.leading_since = now};
     divided_connections_.clear();
@@ -134,6 +140,7 @@
                                                           const entry_report& report,
                                                           time_point now)
 {
+    restore_directory(view.state, now);
     for (const primary_evidence& it : report.primaries) {
         const auto record = view.state.primaries.find(it.service);
         if (record != view.state.primaries.end()) {
@@ -191,6 +198,27 @@
     return grant;
 }
 
+void service_coordinator::restore_directory(const registry& state, time_point now)
+{
+    if (!directory_restored_) {
+        directory_restored_ = true;
+        restore_instances(directory_, state.instances, now);
+    }
+}
+
+void service_coordinator::record_directory(const registry& state, time_point now)
+{
+    if (recorded_directory_version_ == directory_.version || now < next_record_at_) {
+        return;
+    }
+    recorded_directory_version_ = directory_.version;
+    next_record_at_ = now + record_interval;
+    instance_record_changes changes = changes_to_record(directory_, state.instances);
+    if (!changes.changed.empty() || !changes.removed.empty()) {
+        propose_(record_instances{std::move(changes.changed), std::move(changes.removed)});
+    }
+}
+
 void service_coordinator::record_reserve_use(const registry& state, time_point now)
 {
     const auto term = reserve_term_to_record(rate_options_.reserve, state.rate_reserve_term, term_,
@@ -204,7 +232,9 @@
 
 void service_coordinator::advance_services(const coordinator_view& view, time_point now)
 {
+    restore_directory(view.state, now);
     remove_expired_instances(directory_, {}, now);
+    record_directory(view.state, now);
     record_reserve_use(view.state, now);
     std::map<std::string, std::vector<known_instance>> instances;
     for (const auto& [name, it] : directory_.instances) {
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -29,8 +29,8 @@
 
 /// Manages the declared services on the control leader: keeps the directory of instances, replaces
 /// primaries that are lost or leaving, and divides connections and customers' rates among the
-/// entries. Nothing of this is replicated: a new leader starts empty and collects the state again
-/// from heartbeats and entry reports, which takes seconds.
+/// entries. Of this only the instances are replicated, with some delay: a new leader collects the
+/// rest again from heartbeats and entry reports, which takes seconds.
 class service_coordinator {
 public:
     /// Proposes a command to the control log.
@@ -75,6 +75,10 @@
     /// Proposes to record that this leader uses the reserve of the customers' rates, or that the
     /// reserve is whole again.
     void record_reserve_use(const registry& state, time_point now);
+    /// Starts from the instances that an earlier leader recorded, once after each election.
+    void restore_directory(const registry& state, time_point now);
+    /// Proposes to record what has changed in the directory.
+    void record_directory(const registry& state, time_point now);
     void advance_service(const coordinator_view& view, const std::string& service,
                          const declared_service& declared, std::vector<known_instance> instances,
                          time_point now);
@@ -90,6 +94,11 @@
     failover_requests requests_;
     proposer propose_;
     instance_directory directory_;
+    bool directory_restored_ = false;
+    /// Version of the directory that was last proposed to be recorded, and when the next one may
+    /// be.
+    std::uint64_t recorded_directory_version_ = 0;
+    time_point next_record_at_{};
     /// By service.
     std::map<std::string, primary_change_state> primary_changes_;
     token_pool_options rate_options_;
--- a/core/instances/instance_directory.cpp
+++ b/core/instances/instance_directory.cpp
@@ -94,6 +94,34 @@
     });
 }
 
+instance_record_changes changes_to_record(const instance_directory& directory,
+                                          const recorded_instances& recorded)
+{
+    instance_record_changes changes;
+    for (const auto& [name, it] : directory.instances) {
+        const auto found = recorded.find(name);
+        if (found == recorded.end() || differs_for_entries(found->second, it.last_heartbeat)) {
+            changes.changed.push_back(it.last_heartbeat);
+        }
+    }
+    for (const auto& [name, it] : recorded) {
+        if (!directory.instances.contains(name)) {
+            changes.removed.push_back(name);
+        }
+    }
+    return changes;
+}
+
+void restore_instances(instance_directory& directory, const recorded_instances& recorded,
+                       time_point now)
+{
+    for (const auto& [name, it] : recorded) {
+        if (!directory.instances.contains(name)) {
+            (void)record_heartbeat(directory, it, now);
+        }
+    }
+}
+
 directory_changes changes_since(const instance_directory& directory, std::uint64_t version)
 {
     directory_changes changes;
--- a/core/instances/instance_directory.h
+++ b/core/instances/instance_directory.h
@@ -67,6 +67,15 @@
     std::vector<std::string> removed;
 };
 
+/// The newest heartbeats that a control leader has recorded in the registry, by instance.
+using recorded_instances = std::map<std::string, instance_heartbeat>;
+
+/// What the record of the instances lacks.
+struct instance_record_changes {
+    std::vector<instance_heartbeat> changed;
+    std::vector<std::string> removed;
+};
+
 struct directory_options {
     /// An instance is removed when no heartbeat arrived for longer than this.
     duration expiry = seconds(15);
@@ -97,6 +106,18 @@
 /// The newest heartbeats of all instances.
 std::vector<instance_heartbeat> list_instances(const instance_directory& directory);
 
+/// What must change in the record so that the next leader finds the instances of this directory.
+instance_record_changes changes_to_record(const instance_directory& directory,
+                                          const recorded_instances& recorded);
+
+/// Adds the recorded instances of which no newer heartbeat is known, as if their heartbeats had
+/// just arrived. Load pattern: after a loss of all processes every caller waits for the new leader
+/// to learn of the primaries, which takes the whole interval between two heartbeats. A recorded
+/// instance may be gone: an instance refuses a connection that is meant for another one, and is
+/// removed when no heartbeat arrives.
+void restore_instances(instance_directory& directory, const recorded_instances& recorded,
+                       time_point now);
+
 /// What an entry that has the directory of `version` lacks. Complete for version 0.
 directory_changes changes_since(const instance_directory& directory, std::uint64_t version);
 
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -348,6 +348,17 @@
     return accepted(0);
 }
 
+change_result apply_command(registry& state, const record_instances& it)
+{
+    for (const instance_heartbeat& instance : it.changed) {
+        state.instances.insert_or_assign(instance.instance, instance);
+    }
+    for (const std::string& instance : it.removed) {
+        state.instances.erase(instance);
+    }
+    return accepted(0);
+}
+
 change_result apply_command(registry& state, const replace_declared& it)
 {
     if (it.configuration.version > state.declared.version) {
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -57,11 +57,14 @@
     /// Term of the control leader that used the reserve of the customers' rates
     /// (core/rates/restart_reserve.h); zero while it is whole.
     std::uint64_t rate_reserve_term = 0;
+    /// Instances as a control leader last recorded them. Only the next leader starts from them;
+    /// entries use the directory that a leader sends.
+    recorded_instances instances;
 
     bool operator==(const registry&) const = default;
     MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
                    results, result_order, declared, primaries, leaving, leaving_order,
-                   evacuated_domains, entry_domains, ordered_domains, rate_reserve_term)
+                   evacuated_domains, entry_domains, ordered_domains, rate_reserve_term, instances)
 };
 
 /// Applies the command at a log index. Deterministic, so that equal registries stay equal.
--- a/core/registry/registry_command.h
+++ b/core/registry/registry_command.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/instances/instance_directory.h"
 #include "core/registry/declared_configuration.h"
 #include "core/registry/declared_patch.h"
 #include "core/registry/primary_record.h"
@@ -203,12 +204,19 @@
     MSGPACK_DEFINE(expected_term, term)
 };
 
+/// Records instances as the control leader knows them, for the next leader.
+struct record_instances {
+    std::vector<instance_heartbeat> changed;
+    std::vector<std::string> removed;
+    MSGPACK_DEFINE(changed, removed)
+};
+
 /// Any command in the control log.
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
                  release_item, record_primary, activate_preset, set_session_secret,
                  replace_declared, mark_leaving, change_primary, patch_declared, evacuate_domain,
-                 restore_domain, record_rate_reserve>;
+                 restore_domain, record_rate_reserve, record_instances>;
 
 /// Outcome of a command.
 enum class change_status : std::uint8_t {
--- a/core/tests/instance_directory_test.cpp
+++ b/core/tests/instance_directory_test.cpp
@@ -131,3 +131,38 @@
     CHECK(version_after(0) == cold + 1);
     CHECK(version_after(5000) == cold + 2);
 }
+
+TEST_CASE("a new leader knows the instances of the last one before their next heartbeats",
+          "[instances]")
+{
+    // Guards against callers that wait for a heartbeat interval after every process was lost.
+    const time_point now{std::chrono::hours(1)};
+    instance_directory before;
+    (void)record_heartbeat(before, {.instance = "a", .address = "10.0.0.1:1", .born_ms = 5}, now);
+    (void)record_heartbeat(before, {.instance = "b", .address = "10.0.0.2:1", .born_ms = 5}, now);
+    const instance_record_changes changes = changes_to_record(before, {});
+    REQUIRE(changes.changed.size() == 2);
+    recorded_instances recorded;
+    for (const instance_heartbeat& it : changes.changed) {
+        recorded[it.instance] = it;
+    }
+    CHECK(changes_to_record(before, recorded).changed.empty());
+    instance_directory after;
+    restore_instances(after, recorded, now);
+    CHECK(after.instances.size() == 2);
+    // An instance that is gone is forgotten like any other.
+    remove_expired_instances(after, {}, now + seconds(16));
+    CHECK(changes_to_record(after, recorded).removed == std::vector<std::string>{"a", "b"});
+}
+
+TEST_CASE("a recorded instance does not replace one that uses its address now", "[instances]")
+{
+    const time_point now{std::chrono::hours(1)};
+    instance_directory directory;
+    (void)record_heartbeat(directory, {.instance = "new", .address = "10.0.0.1:1", .born_ms = 9},
+                           now);
+    restore_instances(directory,
+                      {{"old", {.instance = "old", .address = "10.0.0.1:1", .born_ms = 5}}}, now);
+    CHECK(directory.instances.size() == 1);
+    CHECK(directory.instances.contains("new"));
+}
