Keep a member's data and its group's changes when its disk is full

An operator's report: the disks of counted machines were full for a few seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered.

Any failure to read the files, and a failure to truncate an incomplete record, counted as damage: the files were set aside and the member came back with a new incarnation and no data. With one disk full after the other, more members than may be lost can reach that state, each alone. 2. A member whose disk was full opened its log again, asked for votes with the longest log, and failed at its own vote. 3. A record whose sync failed was replayed from the page cache as if it were durable. 4. By reading: the result of opening the folder again was dropped without a log line, the registry was cleared before its copy was decoded, changes at such a member waited for their deadline, and the heartbeats of instances that it received were lost. A process that started on a full disk ended.

Opening checks for room for some records. What was not synced is discarded. A member without its folder learns from the leader's appends who leads and passes changes and heartbeats on, or refuses changes at once.

The files of a member go through file_operations, which tests replace.

Not reproduced: a whole group that stays without changes.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -90,9 +90,7 @@
     if (!succeeded(started)) {
         return fail(failure_of(started));
     }
-    if (auto opened = control.start(); !succeeded(opened)) {
-        return fail(failure_of(opened));
-    }
+    control.start();
     operator_api operator_handler(control, settings.common.operator_token);
     http_server operators(settings.operators,
                           [&](const http_request& request, const http_responder& responder) {
--- a/base/event.h
+++ b/base/event.h
@@ -31,6 +31,9 @@
     submission_settled = 2013,
     submission_result_unmatched = 2014,
     fleet_connection_replaced = 2015,
+    storage_unavailable = 2016,
+    storage_restored = 2017,
+    snapshot_postponed = 2018,
 
     change_accepted = 3001,
     change_refused = 3002,
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -6,6 +6,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "control/file_operations.h"
 #include "core/consensus/membership.h"
 #include "core/rates/token_pool.h"
 #include "core/rates/warmup_allocation.h"
@@ -41,6 +42,8 @@
     bool may_form = true;
     /// Size of the log file from which on the log is replaced by a snapshot.
     std::uint64_t snapshot_log_bytes = std::uint64_t{1024} * 1024;
+    /// Operations on the files of the data folder.
+    file_operations files = system_file_operations();
 };
 
 }  // namespace balsamdrift
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -10,6 +10,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "base/random.h"
+#include "control/consensus_frame.h"
 #include "control/domain_events.h"
 #include "core/ownership/assignment.h"
 #include "core/registry/domain_order.h"
@@ -27,7 +28,6 @@
 /// Interval between updates of the status that operators read. Each copies the registry if it has
 /// changed.
 constexpr milliseconds publish_interval(100);
-constexpr seconds reopen_interval(1);
 constexpr std::size_t max_recalls = 4;
 
 /// Limits of the recent log entries that are kept for entry processes. An entry process that lags
@@ -45,39 +45,11 @@
 /// A large update that an entry has not confirmed is not sent again before this time.
 constexpr milliseconds transfer_resend_interval(1500);
 
-/// HTTP clients of platform_api time out after 1 s, so a submission ends before that.
-constexpr milliseconds submission_timeout(850);
-
 /// The registration of an entry is proposed again if it was not committed within this time.
 constexpr milliseconds registration_retry_interval(500);
 
-/// A submission is passed to the leader again if the leader has not answered within this time.
-constexpr milliseconds submission_retry_interval(300);
 constexpr std::size_t session_secret_bytes = 32;
 
-/// Envelope of the messages on the consensus channel.
-struct consensus_frame {
-    replica_id from;
-    replica_id to;
-    std::string message;
-    MSGPACK_DEFINE(from, to, message)
-};
-
-/// Failure domain of an encoded order; empty for any other command. Larger commands are no orders
-/// and are not decoded.
-std::string encoded_order_domain(const std::string& data)
-{
-    if (data.size() >= configuration_command_bytes) {
-        return {};
-    }
-    auto plain = decompress(data);
-    if (!succeeded(plain)) {
-        return {};
-    }
-    auto command = decode_variant<registry_command>(value_of(plain));
-    return succeeded(command) ? ordered_domain(value_of(command)) : std::string();
-}
-
 /// Returns random bytes that serve as the key of session tokens.
 std::string random_secret()
 {
@@ -95,6 +67,7 @@
                                  const failover_requests& requests)
     : options_(std::move(options)),
       fleet_(fleet),
+      storage_(options_.files),
       coordinator_(requests, options_.rates, options_.warmup,
                    [this](const registry_command& it) { propose_internal(it); }),
       coordinates_services_(requests.promote != nullptr),
@@ -106,52 +79,14 @@
 
 control_service::~control_service() = default;
 
-outcome<std::monostate> control_service::start()
+void control_service::start()
 {
     if (auto res = open_storage(); !succeeded(res)) {
-        return res;
+        // The disk may be full for now. A process that ended would only start again.
+        handle_storage_failure(failure_of(res).message);
     }
     timer_.start(tick_interval);
     publish_status();
-    return std::monostate{};
-}
-
-outcome<std::monostate> control_service::open_storage()
-{
-    auto opened = log_storage::open(options_.data_folder, storage_);
-    if (!succeeded(opened)) {
-        return failure_of(opened);
-    }
-    opened_storage& it = value_of(opened);
-    if (!it.damage.empty()) {
-        log_event(event_id::data_folder_set_aside, {{"reason", it.damage}});
-    }
-    if (it.discarded_bytes > 0) {
-        log_event(event_id::log_tail_discarded, {{"bytes", std::to_string(it.discarded_bytes)}});
-    }
-    registry_ = {};
-    if (!it.stored.log.snapshot.state.empty()) {
-        auto decoded = decode<registry>(it.stored.log.snapshot.state);
-        if (!succeeded(decoded)) {
-            return failure_of(decoded);
-        }
-        registry_ = std::move(value_of(decoded));
-    }
-    recent_log_.clear();
-    recent_log_bytes_ = 0;
-    consensus_options conf{
-        .self = {options_.name, it.incarnation},
-        .address = fleet_.address(),
-        .seeds = options_.members,
-        .max_voters = std::max(options_.disks_lost_at_once * 2 + 1, options_.members.size()),
-        .min_commit_copies = options_.disks_lost_at_once + 1,
-        .heartbeat_interval = options_.heartbeat_interval,
-        .election_timeout = options_.election_timeout,
-        .election_jitter = options_.election_jitter,
-        .may_form = it.may_form && options_.may_form,
-        .random_seed = random_identity()};
-    consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
-    return std::monostate{};
 }
 
 void control_service::receive(fleet_message message)
@@ -163,6 +98,7 @@
 void control_service::on_message(const fleet_message& message)
 {
     if (!consensus_) {
+        receive_without_storage(message);
         return;
     }
     if (message.channel == fleet_channel::consensus) {
@@ -198,49 +134,31 @@
 bool control_service::perform(const consensus_action& action)
 {
     outcome<std::monostate> saved = std::monostate{};
-    std::visit(
-        overloaded{
-            [&](const save_vote& it) { saved = storage_.write(it); },
-            [&](const save_entries& it) { saved = storage_.write(it); },
-            [&](const save_snapshot& it) {
-                saved = storage_.write_snapshot(
-                    it.snapshot, {consensus_->term, consensus_->voted_for, consensus_->last_leader},
-                    consensus_->log.entries);
-                log_event(event_id::snapshot_saved, {{"index", std::to_string(it.snapshot.index)}});
-            },
-            [&](const adopt_snapshot& it) {
-                saved = storage_.write_snapshot(
-                    it.snapshot, {consensus_->term, consensus_->voted_for, consensus_->last_leader},
-                    consensus_->log.entries);
-                auto decoded = decode<registry>(it.snapshot.state);
-                if (succeeded(decoded)) {
-                    registry_ = std::move(value_of(decoded));
-                    recent_log_.clear();
-                    recent_log_bytes_ = 0;
-                }
-                log_event(event_id::snapshot_installed,
-                          {{"index", std::to_string(it.snapshot.index)}});
-            },
-            [&](const send_to_member& it) {
-                const consensus_frame frame{consensus_->options.self, it.to,
-                                            encode_variant(it.message)};
-                fleet_.send(it.address, fleet_channel::consensus, encode(frame));
-            },
-            [&](const apply_entries& it) { apply_committed(it); },
-            [&](const leadership_changed& it) {
-                log_event(it.leads ? event_id::leader_elected : event_id::leadership_lost,
-                          {{"term", std::to_string(it.term)}});
-                leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
-                coordinator_.reset(leases_.leading_since, it.term);
-                transfers_.clear();
-                reports_.clear();
-                if (!it.leads) {
-                    fail_proposals();
-                }
-            },
-            [&](const formation_completed&) { log_event(event_id::formation_completed); },
-        },
-        action);
+    std::visit(overloaded{
+                   [&](const save_vote& it) { saved = storage_.write(it); },
+                   [&](const save_entries& it) { saved = storage_.write(it); },
+                   [&](const save_snapshot& it) { saved = save_own_snapshot(it.snapshot); },
+                   [&](const adopt_snapshot& it) { saved = adopt_leader_snapshot(it.snapshot); },
+                   [&](const send_to_member& it) {
+                       const consensus_frame frame{consensus_->options.self, it.to,
+                                                   encode_variant(it.message)};
+                       fleet_.send(it.address, fleet_channel::consensus, encode(frame));
+                   },
+                   [&](const apply_entries& it) { apply_committed(it); },
+                   [&](const leadership_changed& it) {
+                       log_event(it.leads ? event_id::leader_elected : event_id::leadership_lost,
+                                 {{"term", std::to_string(it.term)}});
+                       leases_ = {.leases = {}, .leading_since = monotonic_clock::now()};
+                       coordinator_.reset(leases_.leading_since, it.term);
+                       transfers_.clear();
+                       reports_.clear();
+                       if (!it.leads) {
+                           fail_proposals();
+                       }
+                   },
+                   [&](const formation_completed&) { log_event(event_id::formation_completed); },
+               },
+               action);
     if (!succeeded(saved)) {
         handle_storage_failure(failure_of(saved).message);
         return false;
@@ -248,15 +166,6 @@
     return true;
 }
 
-void control_service::handle_storage_failure(const std::string& message)
-{
-    log_event(event_id::storage_failed, {{"reason", message}});
-    consensus_.reset();
-    reopen_at_ = monotonic_clock::now() + reopen_interval;
-    fail_proposals();
-    publish_status();
-}
-
 void control_service::apply_committed(const apply_entries& action)
 {
     std::vector<change_result> results;
@@ -388,7 +297,10 @@
 
 std::string control_service::leader_address() const
 {
-    if (!consensus_ || !consensus_->leader) {
+    if (!consensus_) {
+        return leader_without_storage_;
+    }
+    if (!consensus_->leader) {
         return {};
     }
     const voter* it = find_by_name(consensus_->members, consensus_->leader->name);
@@ -673,10 +585,7 @@
         [this, it] {
             const time_point now = monotonic_clock::now();
             remember_domain(it.failure_domain);
-            if (!consensus_) {
-                return;
-            }
-            if (holds_leadership(*consensus_, now)) {
+            if (consensus_ && holds_leadership(*consensus_, now)) {
                 coordinator_.handle_heartbeat(it, now);
             }
             else if (const std::string leader = leader_address(); !leader.empty()) {
@@ -700,110 +609,6 @@
         Qt::QueuedConnection);
 }
 
-void control_service::submit(const registry_command& command, submit_handler on_done)
-{
-    add_submission(encode_command(command), std::move(on_done));
-}
-
-void control_service::read_declared_configuration(submit_handler on_done)
-{
-    add_submission({}, std::move(on_done));
-}
-
-void control_service::add_submission(std::string command, submit_handler on_done)
-{
-    QMetaObject::invokeMethod(
-        this,
-        [this, command = std::move(command), on_done = std::move(on_done)] {
-            const time_point now = monotonic_clock::now();
-            const std::uint64_t id = next_submission_++;
-            submission& it = submissions_
-                                 .emplace(id, submission{.command = command,
-                                                         .on_done = on_done,
-                                                         .deadline = now + submission_timeout})
-                                 .first->second;
-            dispatch_submission(id, it, now);
-        },
-        Qt::QueuedConnection);
-}
-
-void control_service::dispatch_submission(std::uint64_t id, submission& it, time_point now)
-{
-    if (!consensus_) {
-        return;
-    }
-    if (holds_leadership(*consensus_, now)) {
-        it.sent_at = now;
-        run_submission(it.command, [this, id](bool settled, const std::string& text) {
-            if (settled || !text.empty()) {
-                complete_submission(id, settled, text);
-            }
-        });
-        return;
-    }
-    const std::string leader = leader_address();
-    if (!leader.empty() && leader != fleet_.address()) {
-        it.sent_at = now;
-        send_message(leader, relayed_command{id, it.command});
-    }
-}
-
-void control_service::complete_submission(std::uint64_t id, bool settled, const std::string& text)
-{
-    const auto found = submissions_.find(id);
-    if (found == submissions_.end()) {
-        return;
-    }
-    const submission done = std::move(found->second);
-    submissions_.erase(found);
-    log_event(event_id::submission_settled, {{"submission", std::to_string(id)},
-                                             {"request", done.command.empty() ? "read" : "change"},
-                                             {"settled", settled ? "yes" : "no"},
-                                             {"sent", done.sent_at ? "yes" : "no"},
-                                             {"leader", leader_address()}});
-    done.on_done(settled, text);
-}
-
-void control_service::run_submission(const std::string& command, submit_handler on_done)
-{
-    if (command.empty()) {
-        on_done(true, registry_.declared.document);
-        return;
-    }
-    if (const std::string refusal = refusal_of(encoded_order_domain(command)); !refusal.empty()) {
-        on_done(false, refusal);
-        return;
-    }
-    queued_proposals_.push_back(
-        {command, [on_done = std::move(on_done)](const proposal_outcome& res) {
-             on_done(std::holds_alternative<change_result>(res), {});
-         }});
-    flush_proposals();
-}
-
-void control_service::check_submissions(time_point now)
-{
-    // Passing a submission on may complete it and others, so the ids are copied first.
-    std::vector<std::uint64_t> ids;
-    ids.reserve(submissions_.size());
-    for (const auto& [id, it] : submissions_) {
-        ids.push_back(id);
-    }
-    for (const std::uint64_t id : ids) {
-        const auto found = submissions_.find(id);
-        if (found == submissions_.end()) {
-            continue;
-        }
-        submission& it = found->second;
-        if (now >= it.deadline) {
-            complete_submission(id, false, {});
-        }
-        else if (!it.sent_at || now - *it.sent_at >= submission_retry_interval) {
-            dispatch_submission(id, it, now);
-        }
-    }
-}
-
 coordinator_view control_service::make_coordinator_view() const
 {
     return {.state = registry_,
@@ -915,23 +720,11 @@
     }
 }
 
-void control_service::compact_log()
-{
-    if (storage_.log_bytes() < options_.snapshot_log_bytes ||
-        consensus_->applied_index <= consensus_->log.snapshot.index) {
-        return;
-    }
-    run_step(snapshot_taken{consensus_->applied_index, encode(registry_)});
-}
-
 void control_service::on_tick()
 {
     check_submissions(monotonic_clock::now());
     if (!consensus_) {
-        if (monotonic_clock::now() >= reopen_at_) {
-            reopen_at_ = monotonic_clock::now() + reopen_interval;
-            (void)open_storage();
-        }
+        reopen_storage(monotonic_clock::now());
         return;
     }
     run_step(clock_ticked{});
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -70,9 +70,9 @@
                     const failover_requests& requests = {});
     ~control_service() override;
 
-    /// Opens the data folder and starts to take part in consensus. Fails if the folder cannot be
-    /// opened or its snapshot cannot be decoded.
-    outcome<std::monostate> start();
+    /// Opens the data folder and starts to take part in consensus. If the folder cannot be opened,
+    /// the member tries again until it can.
+    void start();
 
     /// Handles a message of the consensus or lease channel. Safe from any thread.
     void receive(fleet_message message);
@@ -146,6 +146,13 @@
     void apply_committed(const apply_entries& action);
     /// Stops taking part in consensus until the data folder can be opened again.
     void handle_storage_failure(const std::string& message);
+    /// Tries to open the data folder again after a failure, at intervals.
+    void reopen_storage(time_point now);
+    /// Handles a message while the data folder cannot be used. The member only learns who leads,
+    /// and passes on changes and heartbeats.
+    void receive_without_storage(const fleet_message& message);
+    outcome<std::monostate> save_own_snapshot(const log_snapshot& snapshot);
+    outcome<std::monostate> adopt_leader_snapshot(const log_snapshot& snapshot);
     /// Appends all queued proposals to the log, or fails them if this member does not lead.
     void flush_proposals();
     /// Why an order for a failure domain is refused; empty if it is accepted, if this member does
@@ -266,6 +273,13 @@
     std::set<replica_id> planned_entries_;
     /// When to try again to open the data folder after a failure.
     time_point reopen_at_{};
+    /// When the data folder failed, and why it could not be opened last.
+    time_point storage_failed_at_{};
+    std::string storage_failure_;
+    /// Address of the leader while the data folder cannot be used; empty if it is not known.
+    std::string leader_without_storage_;
+    /// No snapshot is saved before this time.
+    time_point next_compaction_at_{};
     QTimer timer_{this};
 
     /// Guards `status_`.
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -17,6 +17,10 @@
 
 constexpr int file_mode = 0600;
 
+/// Room for the votes of an election and some changes, so that a member whose disk stays full does
+/// not come and go.
+constexpr std::size_t min_room_bytes = 4096;
+
 /// Records of the log file. They are serialised by position.
 struct vote_record {
     std::uint64_t term = 0;
@@ -113,31 +117,43 @@
     return offset;
 }
 
+/// Why the content of the files cannot be used. Unlike a failure, this does not pass.
+struct damaged_files {
+    std::string reason;
+};
+
 /// Reads the files of a folder and removes an incomplete record from the end of the log. Returns an
-/// incarnation of zero for a new folder, and a failure if the files cannot be used.
-outcome<opened_storage> load_folder(const std::string& folder)
+/// incarnation of zero for a new folder. An operation that fails says nothing about the content:
+/// the disk may be full, or descriptors may be short, and the same files are read again later.
+std::variant<opened_storage, damaged_files, failure> load_folder(const file_operations& files,
+                                                                 const std::string& folder)
 {
     namespace fs = std::filesystem;
     opened_storage opened;
     if (!fs::exists(folder + "/incarnation")) {
         return opened;
     }
-    auto incarnation = read_file(folder + "/incarnation");
-    if (!succeeded(incarnation) || value_of(incarnation).size() != sizeof opened.incarnation) {
-        return failure{"the incarnation file cannot be read or has a wrong size"};
+    auto incarnation = files.read(folder + "/incarnation");
+    if (!succeeded(incarnation)) {
+        return failure_of(incarnation);
+    }
+    if (value_of(incarnation).size() != sizeof opened.incarnation) {
+        return damaged_files{"the incarnation file has a wrong size"};
     }
     std::memcpy(&opened.incarnation, value_of(incarnation).data(), sizeof opened.incarnation);
-    auto log = read_file(folder + "/log");
+    if (!fs::exists(folder + "/log")) {
+        return damaged_files{"the log file is missing"};
+    }
+    auto log = files.read(folder + "/log");
     if (!succeeded(log)) {
-        return failure{"the log file cannot be read"};
+        return failure_of(log);
     }
     auto valid_bytes = replay_log(value_of(log), opened.stored);
     if (!succeeded(valid_bytes)) {
-        return failure_of(valid_bytes);
+        return damaged_files{failure_of(valid_bytes).message};
     }
     opened.discarded_bytes = value_of(log).size() - value_of(valid_bytes);
-    if (opened.discarded_bytes > 0 &&
-        ::truncate((folder + "/log").c_str(), static_cast<off_t>(value_of(valid_bytes))) != 0) {
+    if (opened.discarded_bytes > 0 && files.truncate(folder + "/log", value_of(valid_bytes)) != 0) {
         return failure{"cannot truncate the incomplete record at the end of the log"};
     }
     return opened;
@@ -145,14 +161,25 @@
 
 /// Creates the files of a new folder. The incarnation is written last, because its presence marks
 /// the folder as initialised.
-outcome<std::monostate> create_files(const std::string& folder, std::uint64_t incarnation)
+outcome<std::monostate> create_files(const file_operations& files, const std::string& folder,
+                                     std::uint64_t incarnation)
 {
-    if (auto res = replace_file(folder, "log", ""); !succeeded(res)) {
+    if (auto res = replace_file(files, folder, "log", ""); !succeeded(res)) {
         return res;
     }
     std::string bytes(sizeof incarnation, '\0');
     std::memcpy(bytes.data(), &incarnation, sizeof incarnation);
-    return replace_file(folder, "incarnation", bytes);
+    return replace_file(files, folder, "incarnation", bytes);
+}
+
+/// Fails if a few records do not fit on the disk.
+outcome<std::monostate> check_room(const file_operations& files, const std::string& folder)
+{
+    auto written = write_new_file(files, folder, "room", std::string(min_room_bytes, '\0'));
+    if (succeeded(written)) {
+        ::unlink((folder + "/room.new").c_str());
+    }
+    return written;
 }
 
 /// Moves damaged files into the subfolder `damaged`, where operators can examine them. Replaces the
@@ -198,43 +225,70 @@
     return std::monostate{};
 }
 
+outcome<std::monostate> log_storage::discard_unsynced()
+{
+    if (!unsynced_after_) {
+        return std::monostate{};
+    }
+    if (files_.truncate(folder_ + "/log", *unsynced_after_) != 0) {
+        return failure{std::string("cannot discard what was not synced: ") + std::strerror(errno)};
+    }
+    unsynced_after_.reset();
+    return std::monostate{};
+}
+
 outcome<opened_storage> log_storage::open(const std::string& folder, log_storage& storage)
 {
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
     storage.folder_ = folder;
-    auto opened = load_folder(folder);
-    const bool damaged = !succeeded(opened);
-    if (damaged) {
+    if (auto res = storage.discard_unsynced(); !succeeded(res)) {
+        return failure_of(res);
+    }
+    auto loaded = load_folder(storage.files_, folder);
+    if (const auto* const failed = std::get_if<failure>(&loaded)) {
+        return *failed;
+    }
+    opened_storage it;
+    if (const auto* const damaged = std::get_if<damaged_files>(&loaded)) {
         if (auto res = move_damaged_files(folder); !succeeded(res)) {
             return failure_of(res);
         }
-        opened = opened_storage{.damage = failure_of(opened).message};
+        it.damage = damaged->reason;
+    }
+    else {
+        it = std::move(std::get<opened_storage>(loaded));
     }
-    opened_storage& it = value_of(opened);
     // The subfolder also marks damage that was found at an earlier opening.
     if (std::filesystem::exists(folder + "/damaged")) {
         it.may_form = false;
     }
     if (it.incarnation == 0) {
-        it.incarnation = random_identity();
-        if (auto res = create_files(folder, it.incarnation); !succeeded(res)) {
+        const std::uint64_t incarnation = random_identity();
+        if (auto res = create_files(storage.files_, folder, incarnation); !succeeded(res)) {
             return failure_of(res);
         }
+        it.incarnation = incarnation;
     }
     if (auto res = storage.open_log(); !succeeded(res)) {
         return failure_of(res);
     }
-    return opened;
+    // A member that cannot write must not take part: it could win an election, but not lead.
+    if (auto res = check_room(storage.files_, folder); !succeeded(res)) {
+        return failure_of(res);
+    }
+    return it;
 }
 
 outcome<std::monostate> log_storage::append_record(const std::string& framed_record)
 {
-    if (auto res = write_all(log_fd_, framed_record); !succeeded(res)) {
-        return res;
+    auto written = write_all(files_, log_fd_, framed_record);
+    if (succeeded(written) && files_.sync(log_fd_) != 0) {
+        written = failure{std::string("cannot sync the log: ") + std::strerror(errno)};
     }
-    if (::fdatasync(log_fd_) != 0) {
-        return failure{std::string("cannot sync the log: ") + std::strerror(errno)};
+    if (!succeeded(written)) {
+        unsynced_after_ = log_bytes_;
+        return written;
     }
     log_bytes_ += framed_record.size();
     return std::monostate{};
@@ -250,18 +304,24 @@
     return append_record(frame_record(entries_record{action.first_index, action.entries}));
 }
 
-outcome<std::monostate> log_storage::write_snapshot(const log_snapshot& snapshot,
-                                                    const save_vote& vote,
-                                                    const std::vector<log_entry>& entries_after)
+snapshot_result log_storage::write_snapshot(const log_snapshot& snapshot, const save_vote& vote,
+                                            const std::vector<log_entry>& entries_after)
 {
     std::string log = frame_record(snapshot) + frame_record(to_record(vote));
     if (!entries_after.empty()) {
         log += frame_record(entries_record{entries_after.front().index, entries_after});
     }
-    if (auto res = replace_file(folder_, "log", log); !succeeded(res)) {
-        return res;
+    if (auto res = write_new_file(files_, folder_, "log", log); !succeeded(res)) {
+        return snapshot_postponed{failure_of(res).message};
+    }
+    if (auto res = put_new_file(folder_, "log"); !succeeded(res)) {
+        return failure_of(res);
     }
-    return open_log();
+    unsynced_after_.reset();
+    if (auto res = open_log(); !succeeded(res)) {
+        return failure_of(res);
+    }
+    return std::monostate{};
 }
 
 }  // namespace balsamdrift
--- a/control/log_storage.h
+++ b/control/log_storage.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <variant>
 
 #include "base/outcome.h"
+#include "control/file_operations.h"
 #include "core/consensus/consensus_action.h"
 #include "core/consensus/consensus_state.h"
 
@@ -23,18 +26,32 @@
     std::uint64_t discarded_bytes = 0;
 };
 
+/// A snapshot was not saved, for example because the disk is full. The log is as it was, and can
+/// still be appended to.
+struct snapshot_postponed {
+    std::string reason;
+};
+
+/// Result of saving a snapshot.
+using snapshot_result = std::variant<std::monostate, snapshot_postponed, failure>;
+
 /// The files of one control member in its data folder:
 ///   incarnation  identity of the data
 ///   log          a snapshot, then votes and entries, appended as records with checksums
 /// Every write function returns only after the data is synced to disk. After a failure the storage
-/// must be opened again before it is used.
+/// must be opened again before it is used; what was not synced is then discarded, even if it can be
+/// read.
 class log_storage {
 public:
-    /// Opens or creates a data folder. Damaged files are moved to the subfolder `damaged`, and the
-    /// folder gets a new incarnation without data.
+    /// Opens or creates a data folder, and checks that there is room to write. Damaged files are
+    /// moved to the subfolder `damaged`, and the folder gets a new incarnation without data. A
+    /// failure leaves the data as it was; the caller tries again later.
     static outcome<opened_storage> open(const std::string& folder, log_storage& storage);
 
-    log_storage() = default;
+    explicit log_storage(file_operations files = system_file_operations())
+        : files_(std::move(files))
+    {
+    }
     ~log_storage();
     log_storage(const log_storage&) = delete;
     log_storage& operator=(const log_storage&) = delete;
@@ -45,21 +62,27 @@
 
     /// Replaces the whole log atomically by the snapshot, the vote and the entries after the
     /// snapshot.
-    outcome<std::monostate> write_snapshot(const log_snapshot& snapshot, const save_vote& vote,
-                                           const std::vector<log_entry>& entries_after);
+    snapshot_result write_snapshot(const log_snapshot& snapshot, const save_vote& vote,
+                                   const std::vector<log_entry>& entries_after);
 
     /// Size of the log file in bytes.
     std::uint64_t log_bytes() const { return log_bytes_; }
 
 private:
     void close_log();
+    /// Removes the bytes of a failed write from the log. They may be in the page cache only.
+    outcome<std::monostate> discard_unsynced();
     outcome<std::monostate> open_log();
     /// Appends a framed record and syncs the log.
     outcome<std::monostate> append_record(const std::string& framed_record);
 
+    file_operations files_;
     std::string folder_;
     int log_fd_ = -1;
+    /// Size of the log up to which it is synced.
     std::uint64_t log_bytes_ = 0;
+    /// Set after a failed write: the size of the log before it.
+    std::optional<std::uint64_t> unsynced_after_;
 };
 
 }  // namespace balsamdrift
--- a/control/synced_file.cpp
+++ b/control/synced_file.cpp
@@ -19,10 +19,22 @@
 
 }  // namespace
 
-outcome<std::monostate> write_all(int fd, std::string_view bytes)
+file_operations system_file_operations()
+{
+    return {.write = [](int fd, const char* bytes,
+                        std::size_t size) { return ::write(fd, bytes, size); },
+            .sync = [](int fd) { return ::fdatasync(fd); },
+            .truncate =
+                [](const std::string& path, std::uint64_t size) {
+                    return ::truncate(path.c_str(), static_cast<off_t>(size));
+                },
+            .read = read_file};
+}
+
+outcome<std::monostate> write_all(const file_operations& files, int fd, std::string_view bytes)
 {
     while (!bytes.empty()) {
-        const ssize_t n = ::write(fd, bytes.data(), bytes.size());
+        const ssize_t n = files.write(fd, bytes.data(), bytes.size());
         if (n < 0 && errno == EINTR) {
             continue;
         }
@@ -48,27 +60,43 @@
     return std::monostate{};
 }
 
-outcome<std::monostate> replace_file(const std::string& folder, const std::string& name,
-                                     std::string_view content)
+outcome<std::monostate> write_new_file(const file_operations& files, const std::string& folder,
+                                       const std::string& name, std::string_view content)
 {
-    const std::string path = folder + "/" + name;
-    const std::string new_path = path + ".new";
+    const std::string new_path = folder + "/" + name + ".new";
     const int fd = ::open(new_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (fd < 0) {
         return system_failure("cannot create " + new_path);
     }
-    auto written = write_all(fd, content);
-    const bool synced = ::fdatasync(fd) == 0;
+    auto written = write_all(files, fd, content);
+    if (succeeded(written) && files.sync(fd) != 0) {
+        written = system_failure("cannot sync " + new_path);
+    }
     ::close(fd);
     if (!succeeded(written)) {
-        return written;
+        ::unlink(new_path.c_str());
     }
-    if (!synced || std::rename(new_path.c_str(), path.c_str()) != 0) {
+    return written;
+}
+
+outcome<std::monostate> put_new_file(const std::string& folder, const std::string& name)
+{
+    const std::string path = folder + "/" + name;
+    if (std::rename((path + ".new").c_str(), path.c_str()) != 0) {
         return system_failure("cannot replace " + path);
     }
     return sync_folder(folder);
 }
 
+outcome<std::monostate> replace_file(const file_operations& files, const std::string& folder,
+                                     const std::string& name, std::string_view content)
+{
+    if (auto res = write_new_file(files, folder, name, content); !succeeded(res)) {
+        return res;
+    }
+    return put_new_file(folder, name);
+}
+
 outcome<std::string> read_file(const std::string& path)
 {
     std::ifstream in(path, std::ios::binary);
--- a/control/tests/log_storage_test.cpp
+++ b/control/tests/log_storage_test.cpp
@@ -132,7 +132,8 @@
         log_storage storage;
         it.open(storage);
         REQUIRE(succeeded(storage.write(save_entries{1, entries(1, 6)})));
-        REQUIRE(succeeded(storage.write_snapshot(snapshot, {2, "a"}, entries(5, 2))));
+        REQUIRE(std::holds_alternative<std::monostate>(
+            storage.write_snapshot(snapshot, {2, "a"}, entries(5, 2))));
         REQUIRE(succeeded(storage.write(save_entries{7, entries(7, 1)})));
     }
     log_storage storage;
@@ -160,9 +161,9 @@
     // Every write to this device fails with ENOSPC, as on a full disk.
     const int full_device = ::open("/dev/full", O_WRONLY | O_CLOEXEC);
     REQUIRE(full_device >= 0);
-    CHECK_FALSE(succeeded(write_all(full_device, "x")));
+    CHECK_FALSE(succeeded(write_all(system_file_operations(), full_device, "x")));
     ::close(full_device);
-    CHECK_FALSE(succeeded(replace_file("/dev/full", "log", "x")));
+    CHECK_FALSE(succeeded(replace_file(system_file_operations(), "/dev/full", "log", "x")));
 }
 
 TEST_CASE("a lost folder is created again with a new incarnation", "[storage]")
