Sync what an earlier process wrote before it counts, and end a member whose folder cannot be used

Only failures that pass by themselves, such as a full disk, are waited for now.

By reading: records that a killed process had written but not synced were replayed from the page cache and then counted as durable, so a loss of power after that could lose an acknowledged change. The log is synced when it is opened. The new test fails without it.

Tests that called start() check its result again.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -90,7 +90,9 @@
     if (!succeeded(started)) {
         return fail(failure_of(started));
     }
-    control.start();
+    if (auto opened = control.start(); !succeeded(opened)) {
+        return fail(failure_of(opened));
+    }
     operator_api operator_handler(control, settings.common.operator_token);
     http_server operators(settings.operators,
                           [&](const http_request& request, const http_responder& responder) {
--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -79,14 +79,18 @@
 
 control_service::~control_service() = default;
 
-void control_service::start()
+outcome<std::monostate> control_service::start()
 {
+    if (auto prepared = prepare_data_folder(options_.data_folder); !succeeded(prepared)) {
+        return prepared;
+    }
     if (auto res = open_storage(); !succeeded(res)) {
         // The disk may be full for now. A process that ended would only start again.
         handle_storage_failure(failure_of(res).message);
     }
     timer_.start(tick_interval);
     publish_status();
+    return std::monostate{};
 }
 
 void control_service::receive(fleet_message message)
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -70,9 +70,10 @@
                     const failover_requests& requests = {});
     ~control_service() override;
 
-    /// Opens the data folder and starts to take part in consensus. If the folder cannot be opened,
-    /// the member tries again until it can.
-    void start();
+    /// Opens the data folder and starts to take part in consensus. If the folder cannot be opened
+    /// for now, for example because the disk is full, the member tries again until it can. Fails if
+    /// that would never succeed.
+    outcome<std::monostate> start();
 
     /// Handles a message of the consensus or lease channel. Safe from any thread.
     void receive(fleet_message message);
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -5,6 +5,8 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include <algorithm>
+#include <array>
 #include <cstring>
 #include <filesystem>
 
@@ -201,8 +203,40 @@
               : std::monostate{};
 }
 
+/// True if the same operation fails again until somebody changes the settings or permissions.
+bool is_lasting(const std::error_code& ec)
+{
+    constexpr std::array lasting{
+        std::errc::not_a_directory,         std::errc::permission_denied,
+        std::errc::operation_not_permitted, std::errc::read_only_file_system,
+        std::errc::filename_too_long,       std::errc::no_such_file_or_directory};
+    return std::any_of(lasting.begin(), lasting.end(),
+                       [&](std::errc it) { return ec == std::make_error_condition(it); });
+}
+
 }  // namespace
 
+outcome<std::monostate> prepare_data_folder(const std::string& folder)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(folder, ec);
+    if (!ec) {
+        const std::string path = folder + "/room.new";
+        const int fd = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, file_mode);
+        if (fd < 0) {
+            ec = {errno, std::generic_category()};
+        }
+        else {
+            ::close(fd);
+            ::unlink(path.c_str());
+        }
+    }
+    if (is_lasting(ec)) {
+        return failure{"cannot use the data folder " + folder + ": " + ec.message()};
+    }
+    return std::monostate{};
+}
+
 log_storage::~log_storage() { close_log(); }
 
 void log_storage::close_log()
@@ -221,6 +255,9 @@
     if (log_fd_ < 0 || ::fstat(log_fd_, &info) != 0) {
         return failure{std::string("cannot open the log: ") + std::strerror(errno)};
     }
+    if (files_.sync(log_fd_) != 0) {
+        return failure{std::string("cannot sync the log: ") + std::strerror(errno)};
+    }
     log_bytes_ = static_cast<std::uint64_t>(info.st_size);
     return std::monostate{};
 }
--- a/control/log_storage.h
+++ b/control/log_storage.h
@@ -26,6 +26,11 @@
     std::uint64_t discarded_bytes = 0;
 };
 
+/// Creates the data folder if it does not exist. Fails only for a reason that lasts until somebody
+/// changes the settings or permissions, such as a path that is not a folder; a full disk is no such
+/// reason.
+outcome<std::monostate> prepare_data_folder(const std::string& folder);
+
 /// A snapshot was not saved, for example because the disk is full. The log is as it was, and can
 /// still be appended to.
 struct snapshot_postponed {
@@ -72,6 +77,8 @@
     void close_log();
     /// Removes the bytes of a failed write from the log. They may be in the page cache only.
     outcome<std::monostate> discard_unsynced();
+    /// Opens the log for appending. An earlier process may have ended before it synced its last
+    /// records, which can be read all the same, so they are synced before anything relies on them.
     outcome<std::monostate> open_log();
     /// Appends a framed record and syncs the log.
     outcome<std::monostate> append_record(const std::string& framed_record);
--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -43,7 +43,7 @@
                             .election_timeout = milliseconds(100),
                             .election_jitter = milliseconds(20)},
             fleet);
-        control->start();
+        REQUIRE(succeeded(control->start()));
     }
     ~member_fixture()
     {
@@ -92,7 +92,7 @@
                                                               .members = members,
                                                               .failure_domains = {"brest-port"}},
                                               fleet_);
-        control_->start();
+        REQUIRE(succeeded(control_->start()));
         receiver_ = control_.get();
     }
 
--- a/control/tests/full_disk_test.cpp
+++ b/control/tests/full_disk_test.cpp
@@ -2,12 +2,15 @@
 
 #include <QCoreApplication>
 #include <QTemporaryDir>
+#include <sys/stat.h>
+
 #include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <filesystem>
 #include <random>
+#include <set>
 
 #include "control/control_service.h"
 #include "control/log_storage.h"
@@ -24,6 +27,8 @@
     bool sync_fails = false;
     bool truncate_fails = false;
     bool read_fails = false;
+    /// Inodes of the files that were synced.
+    std::set<ino_t> synced;
 
     file_operations operations()
     {
@@ -46,6 +51,9 @@
                             errno = EIO;
                             return -1;
                         }
+                        struct stat info {};
+                        ::fstat(fd, &info);
+                        synced.insert(info.st_ino);
                         return system.sync(fd);
                     },
                 .truncate =
@@ -109,7 +117,7 @@
                                 .snapshot_log_bytes = 4096,
                                 .files = members[n].disk.operations()},
                 members[n].fleet);
-            members[n].control->start();
+            REQUIRE(succeeded(members[n].control->start()));
             members[n].receiver = members[n].control.get();
         }
     }
@@ -238,6 +246,24 @@
     CHECK(last_index(value_of(opened).stored.log) == 1);
 }
 
+TEST_CASE("records that an earlier process did not sync are synced before they count", "[storage]")
+{
+    // Guards against an acknowledged entry that only the page cache holds when the power fails.
+    folder_on_faulty_disk it;
+    REQUIRE(succeeded(it.open()));
+    it.disk.sync_fails = true;
+    CHECK(!succeeded(it.storage.write(entry(1, "x"))));
+    it.disk.sync_fails = false;
+    it.disk.synced.clear();
+    log_storage next_process(it.disk.operations());
+    auto opened = log_storage::open(it.folder, next_process);
+    REQUIRE(succeeded(opened));
+    CHECK(last_index(value_of(opened).stored.log) == 1);
+    struct stat info {};
+    REQUIRE(::stat((it.folder + "/log").c_str(), &info) == 0);
+    CHECK(it.disk.synced.contains(info.st_ino));
+}
+
 TEST_CASE("a snapshot that does not fit leaves the log usable and takes no room", "[storage]")
 {
     folder_on_faulty_disk it;
@@ -285,7 +311,7 @@
                              .members = {{{"c1", 0}, fleet.address()}},
                              .files = disk.operations()},
                             fleet);
-    control.start();
+    REQUIRE(succeeded(control.start()));
     receiver = &control;
     group_on_faulty_disks::run_events(milliseconds(700));
     CHECK(!control.status().serves);
--- a/entry/tests/lease_renewal_test.cpp
+++ b/entry/tests/lease_renewal_test.cpp
@@ -52,7 +52,7 @@
                             .members = {{{"c1", 0}, control_node.address()}},
                             .assigns_owners = false},
                            control_node, requests);
-    member.start();
+    REQUIRE(succeeded(member.start()));
     control = &member;
 
     fleet_node entry_node({.listen = {"127.0.0.1", 0}, .secret = secret});
