--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -118,6 +118,6 @@
     if (!promoted) {
         cannot_run("no instance was promoted");
     }
-    return finish(!lost.empty(), std::to_string(lost.size()) + " acknowledged commits are missing " +
-                                     "in the log of the promoted instance");
+    return finish(!lost.empty(), "acknowledged commits that the log of the promoted instance lacks: " +
+                                     std::to_string(lost.size()));
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -101,5 +101,5 @@
     if (!any) {
         cannot_run("the platform received no call");
     }
-    return finish(broken, "a leader that had been replaced promoted with a lower fence number");
+    return finish(broken, "no promotion call has a lower fence number than an earlier one");
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -104,7 +104,7 @@
         cannot_run("the transaction did not run without trouble");
     }
     db.stop();
-    return finish(ran_late, "statements under a withdrawn key ran later than " +
+    return finish(ran_late, "no statement under a withdrawn key, sent more than " +
                                 std::to_string(static_cast<int>(revoke_s)) +
-                                " s after its withdrawal was acknowledged");
+                                " s after the ack, runs");
 }
--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -1420,7 +1420,7 @@
 
 /// Writes the verdict and returns the exit code.
 inline int finish(bool broken, const std::string& what) {
-    note("%s: %s", broken ? "RULE BROKEN" : "rule held", what.c_str());
+    note("%s. Checked: %s", broken ? "RULE BROKEN" : "The rule held", what.c_str());
     return broken ? 1 : 0;
 }
 
