--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -94,7 +94,7 @@
                 db.end(c);
             }
         }
-        if (ended && !replaced && c.gone && now_s() > drain_began + drain_s + 1.2) {
+        if (ended && !replaced && c.gone && now_s() > drain_began + drain_s + 0.4) {
             replaced = true;
             instance& next = db.add("i-c2", where.host(62, 8), zone_name(2), false);
             {
