--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -389,6 +389,9 @@
     bool gone = false;         // the process has ended
     double lag_s = 0.02;       // time until it receives a commit
     double reaches_newer_since = -1;
+    std::atomic<double> slow_factor = 1;
+    int running = 0;  // statements in slots, and waiting for one
+    int waiting = 0;
     std::thread listener;
     std::thread heart;
     int listen_fd = -1;
@@ -417,6 +420,9 @@
     std::string name;
     int sync_replicas = 0;
     double promote_s = 0.3;
+    int slots = 0;       // statements that an instance runs at a time; 0: any number
+    int queue = 24;      // statements that wait for a slot; further ones get BUSY
+    std::atomic<double> work_s = 0;  // usual time in a slot
     double heartbeat_s = 1.2;
     std::vector<address> control;  // where heartbeats go
     std::vector<std::unique_ptr<instance>> instances;
@@ -857,13 +863,17 @@
             s.writes.clear();
             return reply(it, s, fd, "COMPLETE " + receipt() + "\r\n");
         }
+        if (verb != "READ" && verb != "WRITE" && verb != "COMMIT") {
+            return fail(it, s, fd, "MALFORMED");
+        }
+        if (slots > 0 && !occupy_slot(it)) {
+            // The statement did not run, and the state stays as it was.
+            return reply(it, s, fd, "ERROR BUSY " + it.id + "\r\n");
+        }
         if (verb == "COMMIT") {
             s.state = 'I';
             return commit(it, s, fd, id);
         }
-        if (verb != "READ" && verb != "WRITE") {
-            return fail(it, s, fd, "MALFORMED");
-        }
         {
             const std::lock_guard lock(mutex);
             runs.push_back({now_s(), it.id, id, verb + " " + line, s.tenant});
@@ -889,6 +899,26 @@
         return reply(it, s, fd, "ROW " + value + "\r\nCOMPLETE " + receipt() + "\r\n");
     }
 
+    /// Works in a slot, after waiting for one if all are taken. False if too many wait already.
+    bool occupy_slot(instance& it) {
+        std::unique_lock lock(mutex);
+        if (it.running >= slots) {
+            if (it.waiting >= queue) {
+                return false;
+            }
+            ++it.waiting;
+            changed.wait(lock, [&] { return stopping || it.running < slots; });
+            --it.waiting;
+        }
+        ++it.running;
+        lock.unlock();
+        sleep_s(work_s * it.slow_factor);
+        lock.lock();
+        --it.running;
+        changed.notify_all();
+        return true;
+    }
+
     /// Appends the writes as one commit and waits for the replicas that must have received it.
     bool commit(instance& it, session& s, int fd, const std::string& id) {
         {
