Keep a promotion under way until it cannot take effect any more

Cause: promote_chosen() returned to the choice after three failed status requests, whatever had become of its own request to the platform.

Rule: the phase "chosen" is left only once no promotion of the instance can take effect: not while a request has no answer, not for 2 s after one was accepted, not for 4 s after one that ended unclearly. A new leader that finds an instance chosen counts the earlier leader's request as unclear. A request that never reached the platform or got 429 was not executed. Status requests that confirm a promotion now also go out while the platform answers unclearly.

Evidence: without the rule the new test "no other replica is chosen while a promotion may still take effect" fails in both sections (b is chosen instead of c; a new leader requests another promotion).

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -316,7 +316,7 @@
                                   [this, service, epoch, name = it.instance](promotion_answer res) {
                                       if (primary_changes_[service].epoch == epoch) {
                                           handle_promotion_answer(primary_changes_[service], name,
-                                                                  res);
+                                                                  res, monotonic_clock::now());
                                       }
                                   });
             },
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -32,6 +32,10 @@
     if (record.phase != primary_phase::serving) {
         next.excluded_replicas = state.excluded_replicas;
     }
+    const bool first_view_of_leader = state.epoch == 0;
+    if (first_view_of_leader && record.phase == primary_phase::chosen) {
+        next.promotion.unclear_at = now;
+    }
     state = std::move(next);
 }
 
@@ -339,8 +343,45 @@
             now);
 }
 
-/// Has the chosen replica promoted until it reports itself as primary, or excludes it and returns
-/// to the choice when it was rejected or does not respond.
+/// True while a promotion of the chosen instance may still take effect. Until then no other
+/// instance may be chosen: two promotions of one service could take effect in either order, and
+/// the instance that serves would be replaced without notice.
+bool may_take_effect(const promotion_progress& it, const primary_change_options& options,
+                     time_point now)
+{
+    const bool accepted = it.accepted_at && now - *it.accepted_at < options.promotion_effect_limit;
+    const bool unclear = it.unclear_at && now - *it.unclear_at < options.unclear_promotion_lifetime;
+    return it.awaiting_answer || accepted || unclear;
+}
+
+bool is_promotion_request_due(const promotion_progress& it, const primary_change_options& options,
+                              time_point now)
+{
+    if (it.awaiting_answer) {
+        return false;
+    }
+    const duration interval =
+        it.accepted ? options.promotion_effect_timeout : options.promotion_retry_interval;
+    return !it.requested_at || now - *it.requested_at > interval;
+}
+
+/// True when the chosen instance cannot be promoted: the platform rejected it, or it does not
+/// respond. One that reports itself as primary was promoted, even if it is too busy to answer.
+bool cannot_be_promoted(const primary_change_state& state, const primary_change_view& view,
+                        const primary_change_options& options, time_point now)
+{
+    const std::string& name = view.record.instance;
+    const known_instance* const chosen = find_instance(view, name);
+    if (state.excluded_replicas.contains(name) || chosen == nullptr ||
+        !is_fresh(*chosen, options, now)) {
+        return true;
+    }
+    return !chosen->last_heartbeat.reports_primary &&
+           failed_status_requests(state, name) > options.failed_status_request_limit;
+}
+
+/// Has the chosen instance promoted until it reports itself as primary. Excludes it and returns to
+/// the choice when it cannot be promoted and no promotion of it can take effect any more.
 void promote_chosen(primary_change_state& state, actions& out, const primary_change_view& view,
                     const primary_change_options& options, time_point now)
 {
@@ -351,33 +392,25 @@
         propose(state, out, {name, primary_phase::serving, false}, now);
         return;
     }
-    const known_instance* const chosen_instance = find_instance(view, name);
-    const bool unreachable =
-        chosen_instance == nullptr ||
-        now - chosen_instance->last_heartbeat_at > options.replica_heartbeat_timeout ||
-        failed_status_requests(state, name) > options.failed_status_request_limit;
-    if (state.excluded_replicas.contains(name) || unreachable) {
+    if (cannot_be_promoted(state, view, options, now) &&
+        !may_take_effect(state.promotion, options, now)) {
         state.excluded_replicas.insert(name);
         propose(state, out, {name, primary_phase::suspended, false}, now);
         return;
     }
-    const bool due = !state.promotion_sent_at ||
-                     now - *state.promotion_sent_at > (state.promotion_accepted
-                                                           ? options.promotion_effect_timeout
-                                                           : options.promotion_retry_interval);
-    if (!state.promotion_in_flight && due) {
-        state.promotion_sent_at = now;
-        state.promotion_in_flight = true;
-        state.promotion_accepted = false;
+    if (is_promotion_request_due(state.promotion, options, now)) {
+        state.promotion.requested_at = now;
+        state.promotion.awaiting_answer = true;
+        state.promotion.accepted = false;
         out.push_back(request_promotion{name});
         return;
     }
-    if (state.promotion_sent_at && now - *state.promotion_sent_at > options.confirmation_interval) {
-        request_status_if_due(state, out, name,
-                              chosen_instance->last_heartbeat.reports_primary
-                                  ? options.status_interval
-                                  : options.confirmation_interval,
-                              now);
+    const known_instance* const chosen = find_instance(view, name);
+    const bool reports_primary = chosen != nullptr && chosen->last_heartbeat.reports_primary;
+    if (now - state.phase_since > options.confirmation_interval) {
+        request_status_if_due(
+            state, out, name,
+            reports_primary ? options.status_interval : options.confirmation_interval, now);
     }
 }
 
@@ -444,12 +477,17 @@
 }
 
 void handle_promotion_answer(primary_change_state& state, const std::string& instance,
-                             promotion_answer answer)
+                             promotion_answer answer, time_point now)
 {
-    state.promotion_in_flight = false;
-    state.promotion_accepted = answer == promotion_answer::accepted;
-    if (answer == promotion_answer::rejected) {
-        state.excluded_replicas.insert(instance);
+    state.promotion.awaiting_answer = false;
+    switch (answer) {
+        case promotion_answer::accepted:
+            state.promotion.accepted = true;
+            state.promotion.accepted_at = now;
+            break;
+        case promotion_answer::rejected: state.excluded_replicas.insert(instance); break;
+        case promotion_answer::unclear: state.promotion.unclear_at = now; break;
+        case promotion_answer::not_executed: break;
     }
 }
 
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -40,10 +40,31 @@
     duration promotion_retry_interval = milliseconds(250);
     /// A promotion request that was accepted but has no effect is repeated after this.
     duration promotion_effect_timeout = milliseconds(4000);
-    /// Interval between the status requests that confirm a promotion.
+    /// A promotion takes effect within this time after the platform accepted it, or not at all. The
+    /// platform needs some hundred milliseconds.
+    duration promotion_effect_limit = milliseconds(2000);
+    /// A promotion request without a clear answer may still be carried out for this long: twice the
+    /// time after which a request to a slow platform is given up.
+    duration unclear_promotion_lifetime = milliseconds(4000);
+    /// Time until the first status request that confirms a promotion, and interval between them.
     duration confirmation_interval = milliseconds(400);
 };
 
+/// Requests to the platform for the promotion of the chosen instance.
+struct promotion_progress {
+    /// When the newest request was sent.
+    std::optional<time_point> requested_at;
+    /// True while the newest request has no answer.
+    bool awaiting_answer = false;
+    /// True if the newest request was accepted.
+    bool accepted = false;
+    /// When a request was last accepted.
+    std::optional<time_point> accepted_at;
+    /// When a request last ended without a clear answer. A new leader starts with the time at which
+    /// it found the instance chosen, because a request of the earlier leader may be under way.
+    std::optional<time_point> unclear_at;
+};
+
 /// What the leader of the control group knows about the primary of one service. Not replicated: a
 /// new leader starts with an empty state and collects it again.
 struct primary_change_state {
@@ -63,9 +84,7 @@
     std::map<std::string, instance_status> status_answers;
     /// Replicas that could not be promoted. They are tried again once no other replica is left.
     std::set<std::string> excluded_replicas;
-    std::optional<time_point> promotion_sent_at;
-    bool promotion_in_flight = false;
-    bool promotion_accepted = false;
+    promotion_progress promotion;
     /// When the next phase was proposed, until the record enters it.
     std::optional<time_point> proposed_at;
     /// Highest term that an instance reported.
@@ -147,6 +166,8 @@
     /// No answer, or an error that leaves open whether the request was accepted; it may be
     /// repeated.
     unclear,
+    /// The platform did not receive the request or refused to handle it now; it may be repeated.
+    not_executed,
 };
 
 /// Number of status requests to the instance that failed since its last answer.
@@ -154,6 +175,6 @@
 
 /// Handles the platform's answer to a promotion request; excludes the instance if it was rejected.
 void handle_promotion_answer(primary_change_state& state, const std::string& instance,
-                             promotion_answer answer);
+                             promotion_answer answer, time_point now);
 
 }  // namespace balsamdrift
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <set>
 
 #include "base/outcome.h"
@@ -25,6 +26,17 @@
     promotion_answer platform_answer = promotion_answer::accepted;
     /// Instances whose promotion the platform rejects, regardless of `platform_answer`.
     std::set<std::string> rejected;
+    /// Time that the platform takes to carry out and answer each request; the next one first.
+    /// Requests beyond these are answered at once.
+    std::deque<duration> platform_delays;
+    /// A request that the platform has not carried out yet.
+    struct delayed_promotion {
+        std::string instance;
+        time_point due_at{};
+    };
+    std::vector<delayed_promotion> delayed_promotions;
+    /// Instances that refuse status requests.
+    std::set<std::string> busy;
     std::vector<std::string> promoted;
     std::vector<std::string> stepped_down;
     int status_requests = 0;
@@ -65,20 +77,19 @@
                 },
                 [&](const request_status& it) {
                     ++status_requests;
+                    const bool answers = up[it.instance] && !busy.contains(it.instance);
                     handle_status_answer(state, it.instance,
-                                         up[it.instance] ? std::optional(statuses[it.instance])
-                                                         : std::nullopt);
+                                         answers ? std::optional(statuses[it.instance])
+                                                 : std::nullopt);
                 },
                 [&](const request_promotion& it) {
                     promoted.push_back(it.instance);
-                    const promotion_answer answer = rejected.contains(it.instance)
-                                                        ? promotion_answer::rejected
-                                                        : platform_answer;
-                    handle_promotion_answer(state, it.instance, answer);
-                    if (answer == promotion_answer::accepted && up[it.instance]) {
-                        statuses[it.instance].is_primary = true;
-                        statuses[it.instance].term = 2;
+                    if (platform_delays.empty()) {
+                        carry_out_promotion(it.instance);
+                        return;
                     }
+                    delayed_promotions.push_back({it.instance, now + platform_delays.front()});
+                    platform_delays.pop_front();
                 },
                 [&](const request_step_down& it) { stepped_down.push_back(it.instance); },
                 [&](const report_blocked_evacuation&) { ++blocked_reports; },
@@ -86,12 +97,35 @@
             action);
     }
 
+    void carry_out_promotion(const std::string& name)
+    {
+        const promotion_answer answer =
+            rejected.contains(name) ? promotion_answer::rejected : platform_answer;
+        handle_promotion_answer(state, name, answer, now);
+        if (answer == promotion_answer::accepted && up[name]) {
+            statuses[name].is_primary = true;
+            statuses[name].term = 2;
+        }
+    }
+
+    void carry_out_due_promotions()
+    {
+        for (const delayed_promotion& it : delayed_promotions) {
+            if (it.due_at <= now) {
+                carry_out_promotion(it.instance);
+            }
+        }
+        std::erase_if(delayed_promotions,
+                      [&](const delayed_promotion& it) { return it.due_at <= now; });
+    }
+
     /// Advances the clock. Instances that are up send a heartbeat every second.
     void run(duration span)
     {
         const time_point end = now + span;
         while (now < end) {
             now += milliseconds(10);
+            carry_out_due_promotions();
             if ((now - start) % seconds(1) == duration{0}) {
                 for (const auto& [name, alive] : up) {
                     if (alive) {
@@ -274,6 +308,57 @@
                       [](const std::string& name) { return name == "c"; }));
 }
 
+// Guards against two promotions of one service that are under way at once and take effect in either
+// order.
+TEST_CASE("no other replica is chosen while a promotion may still take effect", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.up["a"] = false;
+    it.platform_delays = {milliseconds(1900)};
+    it.busy = {"c"};
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(milliseconds(600));
+    it.busy.clear();
+    it.run(milliseconds(300));
+    REQUIRE(it.promoted == std::vector<std::string>{"c"});
+    it.busy = {"c"};
+    SECTION("the same leader waits for the answer")
+    {
+        it.run(milliseconds(1500));
+        CHECK(it.promoted == std::vector<std::string>{"c"});
+        it.busy.clear();
+        it.run(seconds(2));
+        CHECK(it.view.record.instance == "c");
+        CHECK(it.view.record.phase == primary_phase::serving);
+    }
+    SECTION("a new leader requests the recorded promotion again")
+    {
+        it.state = {};
+        it.platform_answer = promotion_answer::not_executed;
+        it.run(milliseconds(3500));
+        CHECK(std::all_of(it.promoted.begin(), it.promoted.end(),
+                          [](const std::string& name) { return name == "c"; }));
+        CHECK(it.view.record.phase == primary_phase::chosen);
+    }
+}
+
+TEST_CASE("a replica that is lost after its promotion was accepted is replaced", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.up["a"] = false;
+    it.platform_answer = promotion_answer::unclear;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(milliseconds(900));
+    REQUIRE(it.view.record.phase == primary_phase::chosen);
+    it.up["c"] = false;
+    it.platform_answer = promotion_answer::accepted;
+    it.run(seconds(8));
+    CHECK(it.view.record.instance == "b");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
 TEST_CASE("a leaving primary is replaced once a replica has received everything", "[primary]")
 {
     service_fixture it;
