Choose a successor that has every acknowledged commit, whoever holds it

Cause: whom to ask went by who would be a good successor, so the draining replica was never asked, and how many answers are enough went by the size of the directory, which falls when an instance leaves it. Ruled out by events 5011 and 5007: a wrong comparison of positions. Event 5016 now names the instance that a choice waits for.

Rule, where there are synchronous replicas: every instance is asked; the control log keeps which incarnations may hold acknowledged commits and which instance served last, so a changed directory or a new leader forgets none; all but syncReplicas - 1 of them, or the old primary while it is one, must have answered; the successor has all that any of them has. An instance that left is dropped from the list once enough replicas have what the primary had then.

--- a/base/event.h
+++ b/base/event.h
@@ -64,6 +64,7 @@
     heartbeat_rejected = 5013,
     instance_status_failed = 5014,
     promotion_answered = 5015,
+    commit_holder_missing = 5016,
 
     caller_request_malformed = 6001,
     transaction_expired = 6002,
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -258,6 +258,10 @@
     if (record != view.state.primaries.end()) {
         change_view.record = record->second;
     }
+    const auto holders = view.state.holders.find(service);
+    if (holders != view.state.holders.end()) {
+        change_view.holders = holders->second;
+    }
     for (const known_instance& it : change_view.instances) {
         if (is_evacuated(view.state, it.last_heartbeat.failure_domain)) {
             change_view.evacuated.insert(it.last_heartbeat.instance);
@@ -290,19 +294,21 @@
                            {"vouched_ms_ago",
                             milliseconds_text(monotonic_clock::now() -
                                               primary_changes_[service].last_served_at)}});
-                propose_(change_primary{service, record.epoch, it.instance, it.phase, it.planned});
+                propose_(change_primary{service, record.epoch, it.instance, it.phase, it.planned,
+                                        it.newest_term});
             },
             [&](const request_status& it) {
                 const instance_heartbeat* const instance = find_instance(it.instance);
                 if (instance == nullptr) {
-                    handle_status_answer(primary_changes_[service], it.instance, std::nullopt);
+                    handle_status_answer(primary_changes_[service], it.instance, std::nullopt, {});
                     return;
                 }
                 const std::uint64_t epoch = primary_changes_[service].epoch;
-                const auto on_answer = [this, service, epoch, name = it.instance](
+                const auto on_answer = [this, service, epoch, name = it.instance,
+                                        requested_at = monotonic_clock::now()](
                                            const std::optional<instance_status>& status) {
                     if (primary_changes_[service].epoch == epoch) {
-                        handle_status_answer(primary_changes_[service], name, status);
+                        handle_status_answer(primary_changes_[service], name, status, requested_at);
                     }
                 };
                 requests_.request_status(*instance, on_answer);
@@ -332,6 +338,13 @@
                 log_event(event_id::evacuation_blocked,
                           {{"service", service}, {"instance", it.instance}});
             },
+            [&](const propose_holders& it) {
+                propose_(record_commit_holders{service, it.holders});
+            },
+            [&](const report_missing_holder& it) {
+                log_event(event_id::commit_holder_missing,
+                          {{"service", service}, {"instance", it.instance}});
+            },
         },
         action);
 }
--- /dev/null
+++ b/core/failover/holder_tracking.cpp
@@ -0,0 +1,80 @@
+#include "core/failover/holder_tracking.h"
+
+#include <algorithm>
+
+namespace balsamdrift {
+
+commit_holder holder_of(const instance_heartbeat& it)
+{
+    return {it.instance, it.born_ms, it.address, it.leaving};
+}
+
+const known_instance* find_holder(const std::vector<known_instance>& instances,
+                                  const commit_holder& holder)
+{
+    const auto it =
+        std::find_if(instances.begin(), instances.end(), [&](const known_instance& other) {
+            return other.last_heartbeat.instance == holder.instance &&
+                   other.last_heartbeat.born_ms == holder.born_ms;
+        });
+    return it == instances.end() ? nullptr : &*it;
+}
+
+const known_instance* find_log_of(const std::vector<known_instance>& instances,
+                                  const commit_holder& holder)
+{
+    const known_instance* const same = find_holder(instances, holder);
+    if (same != nullptr || !holder.leaving) {
+        return same;
+    }
+    const auto next =
+        std::find_if(instances.begin(), instances.end(), [&](const known_instance& other) {
+            // One that starts again under its own name has lost its log.
+            return other.last_heartbeat.address == holder.address &&
+                   other.last_heartbeat.instance != holder.instance;
+        });
+    return next == instances.end() ? nullptr : &*next;
+}
+
+commit_holders holders_to_record(holder_tracking& tracking, const commit_holders& recorded,
+                                 const std::vector<known_instance>& instances, time_point now)
+{
+    commit_holders holders;
+    for (const known_instance& it : instances) {
+        holders.insert(holder_of(it.last_heartbeat));
+    }
+    std::map<commit_holder, time_point> departed_at;
+    for (const commit_holder& it : recorded) {
+        if (find_holder(instances, it) != nullptr) {
+            continue;
+        }
+        holders.insert(it);
+        const auto known = tracking.departed_at.find(it);
+        departed_at[it] = known == tracking.departed_at.end() ? now : known->second;
+    }
+    tracking.departed_at = std::move(departed_at);
+    return holders;
+}
+
+void take_primary_sample(holder_tracking& tracking, const status_answers& answers,
+                         const std::string& primary, time_point since)
+{
+    const bool has_sample =
+        tracking.primary_sample && tracking.primary_sample->requested_at >= since;
+    const auto answer = answers.find(primary);
+    if (!has_sample && answer != answers.end() && answer->second.status.is_primary &&
+        answer->second.requested_at >= since) {
+        tracking.primary_sample = answer->second;
+    }
+}
+
+bool has_caught_up(const holder_tracking& tracking, const status_answers& answers,
+                   const std::string& instance)
+{
+    const auto answer = answers.find(instance);
+    return tracking.primary_sample && answer != answers.end() &&
+           answer->second.requested_at > tracking.primary_sample->requested_at &&
+           answer->second.status.received >= tracking.primary_sample->status.received;
+}
+
+}  // namespace balsamdrift
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "base/time.h"
+#include "core/failover/commit_holder.h"
+#include "core/failover/holder_tracking.h"
 #include "core/instances/instance_directory.h"
 #include "core/registry/primary_record.h"
 #include "core/statements/instance_status.h"
@@ -36,6 +38,9 @@
     duration selection_timeout = milliseconds(600);
     /// How long a planned change waits for a replica to receive all that the old primary has.
     duration handover_timeout = milliseconds(1500);
+    /// With synchronous replicas, a silent instance that may hold an acknowledged commit is waited
+    /// for this long; partitions of up to 20 s are expected to heal.
+    duration holder_timeout = seconds(30);
     /// A promotion request that the platform did not clearly accept is repeated after this.
     duration promotion_retry_interval = milliseconds(250);
     /// A promotion request that was accepted but has no effect is repeated after this.
@@ -81,14 +86,25 @@
     /// When the newest status or step-down request was sent, by instance.
     std::map<std::string, time_point> status_requested_at;
     /// The newest status of each instance in this phase.
-    std::map<std::string, instance_status> status_answers;
+    balsamdrift::status_answers status_answers;
+    /// Start of the incarnation that each instance reported last.
+    std::map<std::string, std::int64_t> born_ms;
+    holder_tracking holders;
+    /// When holders were last proposed to be recorded.
+    std::optional<time_point> holders_proposed_at;
+    /// True once it was reported in this phase that the choice waits for a holder.
+    bool missing_holder_reported = false;
     /// Replicas that could not be promoted. They are tried again once no other replica is left.
     std::set<std::string> excluded_replicas;
     promotion_progress promotion;
+    /// True if the chosen instance has started again since, perhaps without its log.
+    bool chosen_restarted = false;
     /// When the next phase was proposed, until the record enters it.
     std::optional<time_point> proposed_at;
     /// Highest term that an instance reported.
     std::uint64_t newest_term = 0;
+    /// True if another instance than the predecessor may have been promoted during this change.
+    bool other_may_be_promoted = false;
     /// True once an evacuation that lacks a successor was reported, until it has one or ends.
     bool blocked_evacuation_reported = false;
 };
@@ -102,6 +118,9 @@
     bool entries_settled = false;
     /// Replicas that must have received a commit before it is acknowledged.
     int synchronous_replicas = 0;
+    /// The recorded instances that may hold acknowledged commits. Maintained only where there are
+    /// synchronous replicas.
+    commit_holders holders;
     /// Names of the instances in evacuated failure domains. A primary among them is replaced by a
     /// planned change, and none of them is chosen as successor.
     std::set<std::string> evacuated;
@@ -112,6 +131,8 @@
     std::string instance;
     primary_phase phase = primary_phase::serving;
     bool planned = false;
+    /// Highest term that an instance reported.
+    std::uint64_t newest_term = 0;
 };
 
 /// Action: request the status of an instance.
@@ -137,9 +158,21 @@
     std::string instance;
 };
 
+/// Action: propose the instances that may hold acknowledged commits to the control log.
+struct propose_holders {
+    commit_holders holders;
+};
+
+/// Action: warn that no successor is chosen because an instance that may hold an acknowledged
+/// commit has not answered.
+struct report_missing_holder {
+    std::string instance;
+};
+
 /// An action that the caller of advance() must perform.
-using primary_action = std::variant<propose_phase, request_status, request_promotion,
-                                    request_step_down, report_blocked_evacuation>;
+using primary_action =
+    std::variant<propose_phase, request_status, request_promotion, request_step_down,
+                 report_blocked_evacuation, propose_holders, report_missing_holder>;
 
 /// Decides what to do next for the primary of one service. Must be called periodically; the
 /// functions below only update the state for the next call.
@@ -153,10 +186,10 @@
                          const std::string& instance, bool failing,
                          std::optional<duration> since_last_served, time_point now);
 
-/// Handles the answer to a status request. No answer means that the instance refused the request or
-/// did not reply in time.
+/// Handles the answer to a status request that was sent at `requested_at`. No answer means that the
+/// instance refused the request or did not reply in time.
 void handle_status_answer(primary_change_state& state, const std::string& instance,
-                          const std::optional<instance_status>& answer);
+                          const std::optional<instance_status>& answer, time_point requested_at);
 
 /// How the platform answered a promotion request.
 enum class promotion_answer : std::uint8_t {
--- a/core/registry/primary_record.h
+++ b/core/registry/primary_record.h
@@ -38,9 +38,13 @@
     std::uint64_t epoch = 0;
     /// Number of promotions so far. Log positions of different generations are not comparable.
     std::uint64_t generation = 0;
+    /// During a change, the instance that served last; empty while one serves.
+    std::string predecessor;
+    /// Highest term that an instance had reported when the record was changed.
+    std::uint64_t newest_term = 0;
 
     bool operator==(const primary_record&) const = default;
-    MSGPACK_DEFINE(instance, phase, planned, epoch, generation)
+    MSGPACK_DEFINE(instance, phase, planned, epoch, generation, predecessor, newest_term)
 };
 
 }  // namespace balsamdrift
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -409,14 +409,26 @@
     }
     const bool promoted =
         record.phase == primary_phase::chosen && it.phase == primary_phase::serving;
+    std::string predecessor;
+    if (it.phase != primary_phase::serving) {
+        predecessor = record.phase == primary_phase::serving ? record.instance : record.predecessor;
+    }
     record = {.instance = it.instance,
               .phase = it.phase,
               .planned = it.planned,
               .epoch = state.index,
-              .generation = record.generation + (promoted ? 1 : 0)};
+              .generation = record.generation + (promoted ? 1 : 0),
+              .predecessor = std::move(predecessor),
+              .newest_term = std::max(record.newest_term, it.newest_term)};
     return accepted(record.epoch);
 }
 
+change_result apply_command(registry& state, const record_commit_holders& it)
+{
+    state.holders[it.service] = it.holders;
+    return accepted(0);
+}
+
 }  // namespace
 
 bool is_leaving(const registry& state, const std::string& instance, std::int64_t born_ms)
--- a/core/registry/registry.h
+++ b/core/registry/registry.h
@@ -60,11 +60,14 @@
     /// Instances as a control leader last recorded them. Only the next leader starts from them;
     /// entries use the directory that a leader sends.
     recorded_instances instances;
+    /// Instances that may hold acknowledged commits, by service with synchronous replicas.
+    std::map<std::string, commit_holders> holders;
 
     bool operator==(const registry&) const = default;
     MSGPACK_DEFINE(index, version, preset, customers, keys, groups, entries, owners, session_secret,
                    results, result_order, declared, primaries, leaving, leaving_order,
-                   evacuated_domains, entry_domains, ordered_domains, rate_reserve_term, instances)
+                   evacuated_domains, entry_domains, ordered_domains, rate_reserve_term, instances,
+                   holders)
 };
 
 /// Applies the command at a log index. Deterministic, so that equal registries stay equal.
--- a/core/registry/registry_command.h
+++ b/core/registry/registry_command.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/failover/commit_holder.h"
 #include "core/instances/instance_directory.h"
 #include "core/registry/declared_configuration.h"
 #include "core/registry/declared_patch.h"
@@ -192,7 +193,9 @@
     std::string instance;
     primary_phase phase = primary_phase::serving;
     bool planned = false;
-    MSGPACK_DEFINE(service, expected_epoch, instance, phase, planned)
+    /// Highest term that an instance reported.
+    std::uint64_t newest_term = 0;
+    MSGPACK_DEFINE(service, expected_epoch, instance, phase, planned, newest_term)
 };
 
 /// Records which leader used the reserve of the customers' rates, unless the record has changed in
@@ -211,12 +214,19 @@
     MSGPACK_DEFINE(changed, removed)
 };
 
+/// Records the instances of a service that may hold acknowledged commits.
+struct record_commit_holders {
+    std::string service;
+    commit_holders holders;
+    MSGPACK_DEFINE(service, holders)
+};
+
 /// Any command in the control log.
 using registry_command =
     std::variant<operator_change, register_entry, expire_entry, assign_items, recall_items,
                  release_item, record_primary, activate_preset, set_session_secret,
                  replace_declared, mark_leaving, change_primary, patch_declared, evacuate_domain,
-                 restore_domain, record_rate_reserve, record_instances>;
+                 restore_domain, record_rate_reserve, record_instances, record_commit_holders>;
 
 /// Outcome of a command.
 enum class change_status : std::uint8_t {
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -44,6 +44,13 @@
     int blocked_reports = 0;
     /// True while instance a announces that it is leaving.
     bool primary_leaving = false;
+    /// Other instances that announce that they are leaving.
+    std::set<std::string> leaving;
+    /// Addresses of instances that use that of an earlier one.
+    std::map<std::string, std::string> addresses;
+    std::vector<std::string> missing_holders;
+    /// Start of instances that have started again.
+    std::map<std::string, std::int64_t> born;
     /// Instances that warm up.
     std::set<std::string> cold;
 
@@ -51,8 +58,13 @@
     {
         known_instance it{.last_heartbeat = {.instance = name,
                                              .service = "registre",
+                                             .address = addresses.contains(name)
+                                                            ? addresses[name]
+                                                            : "10.0.0.1:" + name,
                                              .reports_primary = statuses[name].is_primary,
-                                             .leaving = primary_leaving && name == "a",
+                                             .leaving = (primary_leaving && name == "a") ||
+                                                        leaving.contains(name),
+                                             .born_ms = born[name],
                                              .warmup_left_ms = cold.contains(name) ? 5000 : 0},
                           .last_heartbeat_at = now};
         std::erase_if(view.instances, [&](const known_instance& other) {
@@ -68,19 +80,27 @@
                 [&](const propose_phase& it) {
                     const bool finished = view.record.phase == primary_phase::chosen &&
                                           it.phase == primary_phase::serving;
+                    std::string predecessor;
+                    if (it.phase != primary_phase::serving) {
+                        predecessor = view.record.phase == primary_phase::serving
+                                          ? view.record.instance
+                                          : view.record.predecessor;
+                    }
                     view.record = {.instance = it.instance,
                                    .phase = it.phase,
                                    .planned = it.planned,
                                    .epoch = view.record.epoch + 1,
-                                   .generation = view.record.generation + (finished ? 1 : 0)};
+                                   .generation = view.record.generation + (finished ? 1 : 0),
+                                   .predecessor = predecessor,
+                                   .newest_term = it.newest_term};
                     phases.push_back(it.phase);
                 },
                 [&](const request_status& it) {
                     ++status_requests;
                     const bool answers = up[it.instance] && !busy.contains(it.instance);
-                    handle_status_answer(state, it.instance,
-                                         answers ? std::optional(statuses[it.instance])
-                                                 : std::nullopt);
+                    handle_status_answer(
+                        state, it.instance,
+                        answers ? std::optional(statuses[it.instance]) : std::nullopt, now);
                 },
                 [&](const request_promotion& it) {
                     promoted.push_back(it.instance);
@@ -93,6 +113,8 @@
                 },
                 [&](const request_step_down& it) { stepped_down.push_back(it.instance); },
                 [&](const report_blocked_evacuation&) { ++blocked_reports; },
+                [&](const propose_holders& it) { view.holders = it.holders; },
+                [&](const report_missing_holder& it) { missing_holders.push_back(it.instance); },
             },
             action);
     }
@@ -119,6 +141,24 @@
                       [&](const delayed_promotion& it) { return it.due_at <= now; });
     }
 
+    /// The instance ends and deregisters.
+    void deregister(const std::string& name)
+    {
+        up.erase(name);
+        std::erase_if(view.instances, [&](const known_instance& other) {
+            return other.last_heartbeat.instance == name;
+        });
+    }
+
+    /// Another instance starts at the address of one that has left, with its log.
+    void start_successor(const std::string& name, const std::string& left)
+    {
+        up[name] = true;
+        statuses[name] = statuses[left];
+        addresses[name] = "10.0.0.1:" + left;
+        receive_heartbeat(name);
+    }
+
     /// Advances the clock. Instances that are up send a heartbeat every second.
     void run(duration span)
     {
@@ -288,7 +328,7 @@
     REQUIRE(it.view.record.phase == primary_phase::chosen);
     // Late answers to the requests that were sent while the replica was chosen.
     for (int n = 0; n < 5; ++n) {
-        handle_status_answer(it.state, "b", std::nullopt);
+        handle_status_answer(it.state, "b", std::nullopt, it.now);
     }
     it.run(milliseconds(50));
     CHECK(it.view.record.phase == primary_phase::chosen);
@@ -444,6 +484,125 @@
     CHECK(it.view.record.instance == "c");
 }
 
+// Guards against the loss of a commit that only a leaving replica has received.
+TEST_CASE("with synchronous replicas a leaving one that alone has a commit succeeds a lost primary",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.leaving = {"c"};
+    it.run(seconds(1));
+    it.up["a"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(2));
+    REQUIRE(!it.promoted.empty());
+    CHECK(it.promoted.front() == "c");
+    // It hands over once the other replica has caught up.
+    it.statuses["b"].received = it.statuses["c"].received;
+    it.run(seconds(3));
+    CHECK(it.view.record.instance == "b");
+}
+
+// Guards against a count of answers that falls with the directory: the replica that has the last
+// commits ends and deregisters while the successor is chosen.
+TEST_CASE("with synchronous replicas one that left the directory is waited for at its address",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.leaving = {"c"};
+    it.run(seconds(1));
+    it.busy = {"c"};
+    it.up["a"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(2));
+    it.deregister("c");
+    const bool new_leader = GENERATE(false, true);
+    if (new_leader) {
+        it.state = {};
+    }
+    it.run(seconds(2));
+    CHECK(it.promoted.empty());
+    CHECK(it.missing_holders.back() == "c");
+    it.start_successor("c2", "c");
+    it.run(seconds(2));
+    CHECK(it.view.record.instance == "c2");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
+// Guards against a service that stays without a primary for a holder that is not needed.
+TEST_CASE("a replica that left is not waited for once the others have what the primary had then",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.statuses["b"].received = {1, 100};
+    it.deregister("c");
+    it.run(seconds(1));
+    it.up["a"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(2));
+    CHECK(it.view.record.instance == "b");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
+TEST_CASE("a silent holder is given up after its timeout", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.up["a"] = false;
+    it.up["c"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(25));
+    CHECK(it.promoted.empty());
+    it.run(seconds(10));
+    CHECK(it.view.record.instance == "b");
+}
+
+// Guards against the answer of an earlier incarnation: one that starts again under its name holds
+// nothing of before.
+TEST_CASE("a replica that lost its log does not answer for what it held", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.born["c"] = 1;
+    it.statuses["c"].received = {};
+    it.receive_heartbeat("c");
+    it.up["a"] = false;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(5));
+    CHECK(it.promoted.empty());
+    it.up["a"] = true;
+    it.statuses["b"].received = {1, 100};
+    it.run(seconds(3));
+    CHECK(it.view.record.instance == "b");
+}
+
+// Guards against the promotion of a replica that lost its log after it was chosen.
+TEST_CASE("a chosen replica that starts again is not requested again before it is chosen again",
+          "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.up["a"] = false;
+    it.platform_answer = promotion_answer::not_executed;
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(milliseconds(900));
+    REQUIRE(it.view.record.instance == "c");
+    it.born["c"] = 1;
+    it.statuses["c"].received = {};
+    it.receive_heartbeat("c");
+    it.promoted.clear();
+    it.platform_answer = promotion_answer::accepted;
+    it.run(seconds(3));
+    CHECK(it.promoted == std::vector<std::string>{"b"});
+}
+
 TEST_CASE(
     "a primary in an evacuated domain is replaced by a replica elsewhere once that has everything",
     "[primary]")
