Suspend a leaving primary only once a staying replica has caught up

Cause: a planned change that had waited for handover_timeout went on with the best replica that it had asked, and the count of answers was made for unplanned changes only. This change keeps callers from waiting for it: a leaving primary serves on until a replica that stays has what it had a moment before; if it ends first, it is replaced like a lost one. Without synchronous replicas nothing changes.

The new test "a planned change with synchronous replicas loses no commit to a lagging replica" fails without the condition.

--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -166,6 +166,32 @@
     }
 }
 
+/// True once a leaving primary may be suspended. With synchronous replicas it stays until a replica
+/// that does not leave has caught up: nothing else may succeed it, and callers don't wait
+/// meanwhile.
+bool may_hand_over(primary_change_state& state, actions& out, const primary_change_view& view,
+                   const primary_change_options& options, time_point now)
+{
+    if (view.synchronous_replicas == 0) {
+        return true;
+    }
+    if (!state.leaving_since) {
+        state.leaving_since = now;
+        state.holders.primary_sample.reset();
+    }
+    take_primary_sample(state.holders, state.status_answers, view.record.instance,
+                        *state.leaving_since);
+    request_status_if_due(state, out, view.record.instance, options.status_interval, now);
+    bool caught_up = false;
+    for (const known_instance* it : eligible_replicas(state, view, options, now)) {
+        const instance_heartbeat& replica = it->last_heartbeat;
+        request_status_if_due(state, out, replica.instance, options.status_interval, now);
+        caught_up |= !replica.leaving &&
+                     has_caught_up(state.holders, state.status_answers, replica.instance);
+    }
+    return caught_up;
+}
+
 /// Proposes to replace the primary when it is lost, no longer primary, leaving, or in an evacuated
 /// failure domain, provided that a replica can take over.
 void monitor_serving_primary(primary_change_state& state, actions& out,
@@ -181,7 +207,7 @@
     }
     const bool evacuated = view.evacuated.contains(view.record.instance);
     const bool leaving = primary != nullptr && primary->last_heartbeat.leaving;
-    if (evacuated || leaving) {
+    if (evacuated || (leaving && may_hand_over(state, out, view, options, now))) {
         propose(state, out, {view.record.instance, primary_phase::suspended, true}, now);
         return;
     }
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -92,6 +92,8 @@
     holder_tracking holders;
     /// When holders were last proposed to be recorded.
     std::optional<time_point> holders_proposed_at;
+    /// Since when the serving primary has been leaving.
+    std::optional<time_point> leaving_since;
     /// True once it was reported in this phase that the choice waits for a holder.
     bool missing_holder_reported = false;
     /// Replicas that could not be promoted. They are tried again once no other replica is left.
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -603,6 +603,46 @@
     CHECK(it.promoted == std::vector<std::string>{"b"});
 }
 
+// Guards against a planned change that gives up commits which running instances hold.
+TEST_CASE("a planned change with synchronous replicas loses no commit to a lagging replica",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.statuses["c"].received = {1, 100};
+    it.leaving = {"c"};
+    it.run(seconds(1));
+    it.primary_leaving = true;
+    it.run(seconds(2));
+    // The primary serves on while the replica that stays lags.
+    CHECK(it.view.record.phase == primary_phase::serving);
+    SECTION("and the replica catches up")
+    {
+        it.statuses["b"].received = {1, 100};
+        it.run(seconds(2));
+        CHECK(it.promoted == std::vector<std::string>{"b"});
+        CHECK(it.view.record.phase == primary_phase::serving);
+    }
+    SECTION("and the replica stays behind until the primary ends")
+    {
+        it.run(seconds(6));
+        CHECK(it.view.record.phase == primary_phase::serving);
+        it.deregister("a");
+        it.run(seconds(8));
+        REQUIRE(!it.promoted.empty());
+        CHECK(it.promoted.front() == "c");
+    }
+    SECTION("and the primary is lost meanwhile")
+    {
+        it.up["a"] = false;
+        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.run(seconds(3));
+        REQUIRE(!it.promoted.empty());
+        CHECK(it.promoted.front() == "c");
+    }
+}
+
 TEST_CASE(
     "a primary in an evacuated domain is replaced by a replica elsewhere once that has everything",
     "[primary]")
