Compare replicas only with what the primary had after a holder left

Callers could lose a commit of a service with synchronous replicas that a draining replica alone held: its entry in the list of holders was dropped although the primary had been lost before it left. The sample of the primary from an earlier comparison was still used, because only the test for a newer one looked at the time.

An earlier sample is now dropped.

--- a/core/failover/holder_tracking.cpp
+++ b/core/failover/holder_tracking.cpp
@@ -59,10 +59,11 @@
 void take_primary_sample(holder_tracking& tracking, const status_answers& answers,
                          const std::string& primary, time_point since)
 {
-    const bool has_sample =
-        tracking.primary_sample && tracking.primary_sample->requested_at >= since;
+    if (tracking.primary_sample && tracking.primary_sample->requested_at < since) {
+        tracking.primary_sample.reset();
+    }
     const auto answer = answers.find(primary);
-    if (!has_sample && answer != answers.end() && answer->second.status.is_primary &&
+    if (!tracking.primary_sample && answer != answers.end() && answer->second.status.is_primary &&
         answer->second.requested_at >= since) {
         tracking.primary_sample = answer->second;
     }
--- a/core/failover/holder_tracking.h
+++ b/core/failover/holder_tracking.h
@@ -47,8 +47,8 @@
 commit_holders holders_to_record(holder_tracking& tracking, const commit_holders& recorded,
                                  const std::vector<known_instance>& instances, time_point now);
 
-/// Takes the newest answer of the serving primary as sample, if it was requested at `since` or
-/// later and there is no such sample yet.
+/// Takes the newest answer of the serving primary as sample if it was requested at `since` or later
+/// and there is no such sample yet. Drops an earlier sample.
 void take_primary_sample(holder_tracking& tracking, const status_answers& answers,
                          const std::string& primary, time_point since);
 
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -549,6 +549,26 @@
     CHECK(it.view.record.phase == primary_phase::serving);
 }
 
+// Guards against a comparison with what the primary had before the replica left.
+TEST_CASE("a replica that left is waited for if the primary was not heard since", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.born["c"] = 1;
+    it.receive_heartbeat("c");
+    it.busy = {"b", "c"};
+    it.run(seconds(1));
+    // The primary answered while the first holder was compared. Then it is lost, and c leaves.
+    it.up["a"] = false;
+    it.deregister("c");
+    it.busy.clear();
+    it.statuses["b"].received = {1, 100};
+    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.run(seconds(5));
+    CHECK(it.promoted.empty());
+}
+
 TEST_CASE("a silent holder is given up after its timeout", "[primary]")
 {
     service_fixture it;
