Roll a transaction back when a statement in it fails

Cause: an instance that refuses a statement without running it keeps the transaction open. The entry told the caller that it had failed, kept the connection, passed the COMMIT on and turned its success into ABORTED. Event 6004 now shows the state that the instance reported.

Change: when a statement inside a transaction fails, the entry has the instance roll back at once and takes the connection from the session. COMMIT and ROLLBACK of the caller are then answered without the instance, so no commit can reach it, and neither a lost connection nor a deadline leaves the end in doubt. An answer to the rollback that does not come closes the connection.

The model of shared connections assumed that the service sends nothing of its own but set-up; it now knows the rollback and reports one outside a transaction.

Evidence: the new test "a transaction in which a statement was refused cannot be committed any more" fails on the code before (see the checks on the rollback, the commit and the further write) and passes now.

--- a/core/statements/statement.h
+++ b/core/statements/statement.h
@@ -110,6 +110,17 @@
 /// Transaction state of a session between statements.
 enum class session_state : std::uint8_t { idle, in_transaction, failed_transaction };
 
+/// Name of a state, for logs.
+inline const char* to_string(session_state state)
+{
+    switch (state) {
+        case session_state::idle: return "none";
+        case session_state::in_transaction: return "open";
+        case session_state::failed_transaction: return "failed";
+    }
+    return "?";
+}
+
 /// The answer to a statement.
 struct statement_answer {
     std::vector<std::string> rows;
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -5,7 +5,7 @@
 namespace balsamdrift {
 namespace {
 
-bool is_idle(const pooled_connection& it) { return it.session == 0; }
+bool is_idle(const pooled_connection& it) { return it.session == 0 && !it.rolls_back; }
 
 }  // namespace
 
--- a/pooling/pooled_connection.h
+++ b/pooling/pooled_connection.h
@@ -23,6 +23,8 @@
     begin,
     /// The caller's own statement.
     request,
+    /// Rolls back a transaction that failed.
+    roll_back,
 };
 
 /// An answer that the instance still owes.
@@ -46,6 +48,9 @@
     std::deque<expected_answer> expected_answers;
     /// Number of the session that uses the connection; zero while it is idle.
     std::uint64_t session = 0;
+    /// True while the instance rolls back a transaction that failed. No session uses the connection
+    /// then.
+    bool rolls_back = false;
     time_point opened_at{};
     /// When the connection was last assigned to a session or released by one.
     time_point last_used_at{};
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -448,21 +448,8 @@
 
 void session_service::run_in_failed_transaction(caller_session& session)
 {
+    // The transaction left its connection when it failed, so nothing can commit it any more.
     const bool commits = session.pending->request.kind == statement_kind::commit;
-    if (session.transaction && !may_send(session, hooks_.now())) {
-        abort_transaction(session);
-    }
-    const pooled_connection_ptr connection =
-        session.transaction ? session.transaction->connection : nullptr;
-    if (connection != nullptr) {
-        // The caller's own commit or rollback ends the transaction at the instance, after which
-        // the connection can be reused.
-        session.pending->deadline =
-            session.pending->arrived_at + session.transaction->route.statement_timeout;
-        session.pending->dispatched_at = hooks_.now();
-        send_request(session, *connection);
-        return;
-    }
     end_transaction(session);
     if (commits) {
         answer_error(session, statement_error_code::aborted,
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -171,6 +171,13 @@
     void notify_configuration_waiters(time_point now);
     void end_transaction(caller_session& session);
     void abort_transaction(caller_session& session);
+    /// Ends a transaction in which a statement failed: has the instance roll it back, whatever
+    /// state the instance reported, and takes its connection away. An instance that refused a
+    /// statement without running it keeps the transaction open, so a commit that reached it would
+    /// succeed although the caller was told that nothing is kept.
+    void roll_back(caller_session& session);
+    void on_rolled_back(const pooled_connection_ptr& connection,
+                        const statement_answer& instance_answer);
 
     // Placement of statements on connections.
     const declared_route& route_of(const caller_session& session) const;
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -41,6 +41,10 @@
     if (pool != nullptr) {
         record_position(*service, *pool, instance_answer, expected);
     }
+    if (expected.purpose == answer_purpose::roll_back) {
+        on_rolled_back(connection, instance_answer);
+        return;
+    }
     caller_session* const session = find_session(connection->session);
     if (session == nullptr || !session->pending) {
         return;
@@ -172,11 +176,6 @@
         session.last_commit_generation = service.positions.generation;
     }
     statement_answer caller_answer = instance_answer;
-    if (session.state == session_state::failed_transaction && kind == statement_kind::commit) {
-        caller_answer.result =
-            statement_error{statement_error_code::aborted,
-                            retry_after_text(rolled_back_retry_after, rolled_back_text)};
-    }
     if (single) {
         answer(session, caller_answer);
         return;
@@ -245,6 +244,7 @@
                                            {"database", session.database},
                                            {"instance", connection->instance},
                                            {"code", to_string(code)},
+                                           {"transaction", to_string(instance_answer.state)},
                                            {"sent", "yes"}});
     const bool ends = session.pending->request.kind == statement_kind::commit ||
                       session.pending->request.kind == statement_kind::rollback;
@@ -258,11 +258,38 @@
         caller_answer.state = session_state::idle;
     }
     else if (!single) {
+        roll_back(session);
         caller_answer.state = session_state::failed_transaction;
     }
     answer(session, caller_answer);
 }
 
+void session_service::roll_back(caller_session& session)
+{
+    if (!may_send(session, hooks_.now())) {
+        abort_transaction(session);
+        return;
+    }
+    const pooled_connection_ptr connection =
+        std::exchange(session.transaction->connection, nullptr);
+    session.transaction->aborted = true;
+    connection->session = 0;
+    connection->rolls_back = true;
+    connection->last_used_at = hooks_.now();
+    send(*connection, {.kind = statement_kind::rollback}, answer_purpose::roll_back);
+}
+
+void session_service::on_rolled_back(const pooled_connection_ptr& connection,
+                                     const statement_answer& instance_answer)
+{
+    if (!is_success(instance_answer)) {
+        close_connection(connection);
+        return;
+    }
+    connection->rolls_back = false;
+    release_connection(connection, false);
+}
+
 void session_service::retry(caller_session& session, const std::string& instance,
                             const std::string& reason)
 {
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -294,14 +294,17 @@
         std::vector<pooled_connection_ptr> unused;
         for (auto& [instance, pool] : service.pools) {
             for (const pooled_connection_ptr& connection : pool.connections) {
-                const bool idle = connection->session == 0;
+                const bool idle = connection->session == 0 && !connection->rolls_back;
+                const bool not_rolled_back =
+                    connection->rolls_back &&
+                    now - connection->last_used_at > options_.connect_timeout;
                 const bool unanswered = idle && !connection->expected_answers.empty();
                 const bool idle_too_long =
                     idle && now - connection->last_used_at > options_.idle_connection_timeout;
                 const bool leaving =
                     idle && pool.heartbeat.leaving && instance != service.record.instance;
                 const bool vacated = idle && is_vacated(service, pool, now);
-                if (unanswered || idle_too_long || leaving || vacated) {
+                if (unanswered || not_rolled_back || idle_too_long || leaving || vacated) {
                     unused.push_back(connection);
                 }
             }
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -958,6 +958,93 @@
     CHECK(vm.received_count("a") == before);
 }
 
+// Guards against the commit of a transaction whose caller was told that nothing of it is kept: an
+// instance that refuses a statement without running it keeps the transaction open.
+TEST_CASE("a transaction in which a statement was refused cannot be committed any more",
+          "[sessions]")
+{
+    vm_fixture vm;
+    vm.advance_time(milliseconds(100));
+    const auto session = vm.open_session("strict");
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::begin})));
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    const auto connection = vm.connections.back();
+    const auto sent = [&](statement_kind kind) {
+        return std::count_if(connection->received.begin(), connection->received.end(),
+                             [&](const statement& it) { return it.kind == kind; });
+    };
+    std::ptrdiff_t refused_commits = 0;
+    SECTION("the instance is busy")
+    {
+        vm.instances["a"].busy_refusals = 1;
+        const auto refused = vm.run(session, read_of("x"));
+        CHECK(error_code_of(refused) == statement_error_code::busy);
+        CHECK(refused.state == session_state::failed_transaction);
+        SECTION("and the caller commits")
+        {
+            const auto committed = vm.run(session, {.kind = statement_kind::commit});
+            CHECK(error_code_of(committed) == statement_error_code::aborted);
+            CHECK(committed.state == session_state::idle);
+        }
+        SECTION("and the caller rolls back")
+        {
+            CHECK(is_success(vm.run(session, {.kind = statement_kind::rollback})));
+        }
+        SECTION("and the caller goes on")
+        {
+            CHECK(error_code_of(vm.run(session, write_of("y"))) == statement_error_code::malformed);
+            CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+                  statement_error_code::aborted);
+        }
+        CHECK(sent(statement_kind::rollback) == 1);
+        CHECK(vm.instances["a"].items.count("y") == 0);
+        // The connection is used again.
+        const std::size_t opened = vm.connections.size();
+        CHECK(is_success(vm.run(session, write_of("z"))));
+        CHECK(vm.connections.size() == opened);
+    }
+    SECTION("the instance has lost the lead")
+    {
+        vm.instances["a"].primary = false;
+        CHECK(error_code_of(vm.run(session, write_of("y"))) == statement_error_code::read_only);
+        CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+              statement_error_code::aborted);
+        CHECK(sent(statement_kind::rollback) == 1);
+    }
+    SECTION("the commit itself is refused")
+    {
+        vm.instances["a"].busy_refusals = 1;
+        CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+              statement_error_code::busy);
+        refused_commits = 1;
+        CHECK(connection->closed);
+    }
+    SECTION("the answer to the rollback is lost")
+    {
+        vm.instances["a"].busy_refusals = 1;
+        vm.submit(session, read_of("x"));
+        while (!*vm.answered) {
+            const auto event = std::move(vm.events.front());
+            vm.events.pop_front();
+            event();
+        }
+        vm.instances["a"].drops_answers = true;
+        CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+              statement_error_code::aborted);
+        vm.advance_time(seconds(3));
+        CHECK(connection->closed);
+    }
+    SECTION("the statement's limit passes")
+    {
+        vm.instances["a"].drops_answers = true;
+        CHECK(error_code_of(vm.run(session, write_of("y"))) == statement_error_code::aborted);
+        CHECK(connection->closed);
+        CHECK(error_code_of(vm.run(session, {.kind = statement_kind::commit})) ==
+              statement_error_code::aborted);
+    }
+    CHECK(sent(statement_kind::commit) == refused_commits);
+}
+
 TEST_CASE("an open transaction in an evacuated domain ends with the grace and sends nothing more",
           "[sessions][evacuation]")
 {
--- a/pooling/tests/shared_connection_model_test.cpp
+++ b/pooling/tests/shared_connection_model_test.cpp
@@ -153,6 +153,16 @@
             case statement_kind::set_value: it.values[sent.name] = sent.argument; return;
             case statement_kind::prepare_read:
             case statement_kind::prepare_write: it.prepared[sent.name] = sent.argument; return;
+            case statement_kind::rollback:
+                if (sent.id.empty()) {
+                    // The service ends a transaction that has failed.
+                    if (it.transaction_of.empty()) {
+                        violations.push_back("rollback outside a transaction");
+                    }
+                    it.transaction_of.clear();
+                    return;
+                }
+                break;
             default: break;
         }
         const std::string owner = sent.id.substr(0, sent.id.find('-'));
