--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -619,7 +619,11 @@
             .leases = leases_,
             .lease_duration = options_.lease_duration,
             .leader = options_.name,
-            .term = consensus_->term};
+            .term = consensus_->term,
+            .still_leads = [this, term = consensus_->term] {
+                return consensus_ && consensus_->term == term &&
+                       holds_leadership(*consensus_, monotonic_clock::now());
+            }};
 }
 
 std::vector<std::string> control_service::member_addresses() const
--- a/control/failover_requests.h
+++ b/control/failover_requests.h
@@ -18,6 +18,10 @@
     /// The leader's term. It increases with every leader, so that the platform can reject requests
     /// of an earlier one.
     std::uint64_t fencing_token = 0;
+    /// False once another member may lead. Checked when the request is sent, which may be long
+    /// after it was made: the platform may be slow to accept the connection, or this process may
+    /// have been stopped meanwhile. A late request would follow one with a higher token.
+    std::function<bool()> may_send = [] { return true; };
 };
 
 /// Requests that service_coordinator sends to instances and to the platform. The answer handlers
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -318,7 +318,7 @@
                                                         {"instance", it.instance},
                                                         {"token", std::to_string(view.term)}});
                 const std::uint64_t epoch = primary_changes_[service].epoch;
-                requests_.promote({service, it.instance, view.leader, view.term},
+                requests_.promote({service, it.instance, view.leader, view.term, view.still_leads},
                                   [this, service, epoch, name = it.instance](promotion_answer res) {
                                       if (primary_changes_[service].epoch == epoch) {
                                           handle_promotion_answer(primary_changes_[service], name,
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -25,6 +25,8 @@
     /// Name of this member, which leads.
     std::string leader;
     std::uint64_t term = 0;
+    /// Whether this member still leads that term, at the time of the call.
+    std::function<bool()> still_leads = [] { return true; };
 };
 
 /// Manages the declared services on the control leader: keeps the directory of instances, replaces
