Forget a holder that left for good after its timeout

A service with synchronous replicas whose departed replica is replaced by none had its primary asked for its status four times a second for ever, because no replica could be compared with it. The holder now leaves the record after holder_timeout, when it no longer counts in a choice either. The new test 'a holder that left for good is forgotten although no replica can stand in for it' covers it; [primary] passes.

--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -155,6 +155,11 @@
                    const primary_change_options& options, time_point now)
 {
     commit_holders holders = holders_to_record(state.holders, view.holders, view.instances, now);
+    std::erase_if(holders, [&](const commit_holder& it) {
+        const auto departed = state.holders.departed_at.find(it);
+        return departed != state.holders.departed_at.end() &&
+               now - departed->second > options.holder_timeout;
+    });
     if (view.record.phase == primary_phase::serving && !state.holders.departed_at.empty()) {
         forget_covered_holders(state, out, view, options, holders, now);
     }
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -583,6 +583,22 @@
     CHECK(it.view.record.instance == "b");
 }
 
+// Guards against a primary that is asked for its status four times a second for ever.
+TEST_CASE("a holder that left for good is forgotten although no replica can stand in for it",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.up.erase("b");
+    it.run(seconds(3));
+    it.deregister("c");
+    it.run(seconds(35));
+    CHECK(it.view.holders.size() == 1);
+    const int before = it.status_requests;
+    it.run(seconds(5));
+    CHECK(it.status_requests == before);
+}
+
 // Guards against the answer of an earlier incarnation: one that starts again under its name holds
 // nothing of before.
 TEST_CASE("a replica that lost its log does not answer for what it held", "[primary]")
