Count the time after which a holder is given up from when it left the directory

A silent holder leaves the directory after 15 s and was waited for 30 s more, so that a service whose instances were lost for good had no primary for 45 s (15 s before the list of holders). It is now given up 15 s after it left the directory: after 30 s of silence, or 15 s after it deregistered without a successor. That time is kept in one place, the record of holders; the choice had a second test of its own. [primary] passes.

--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -38,9 +38,10 @@
     duration selection_timeout = milliseconds(600);
     /// How long a planned change waits for a replica to receive all that the old primary has.
     duration handover_timeout = milliseconds(1500);
-    /// With synchronous replicas, a silent instance that may hold an acknowledged commit is waited
-    /// for this long; partitions of up to 20 s are expected to heal.
-    duration holder_timeout = seconds(30);
+    /// With synchronous replicas, how long an instance that may hold an acknowledged commit is
+    /// waited for after it left the directory, which a silent one does after 15 s. Partitions of up
+    /// to 20 s are expected to heal.
+    duration holder_timeout = seconds(15);
     /// A promotion request that the platform did not clearly accept is repeated after this.
     duration promotion_retry_interval = milliseconds(250);
     /// A promotion request that was accepted but has no effect is repeated after this.
--- a/core/failover/successor_choice.cpp
+++ b/core/failover/successor_choice.cpp
@@ -120,24 +120,10 @@
     }
 }
 
-/// True if the holder's log need not be heard: it was silent for so long that it counts as lost.
-bool is_given_up(const primary_change_state& state, const primary_change_view& view,
-                 const commit_holder& holder, const primary_change_options& options, time_point now)
-{
-    const known_instance* const present = find_holder(view.instances, holder);
-    if (present != nullptr) {
-        return now - present->last_heartbeat_at > options.holder_timeout;
-    }
-    const auto departed = state.holders.departed_at.find(holder);
-    return departed != state.holders.departed_at.end() &&
-           now - departed->second > options.holder_timeout;
-}
-
 /// The recorded holders and the instances in the directory, without the old primary, whose log has
 /// not been heard.
 std::vector<commit_holder> missing_holders(const primary_change_state& state,
-                                           const primary_change_view& view,
-                                           const primary_change_options& options, time_point now)
+                                           const primary_change_view& view)
 {
     commit_holders all;
     for (const known_instance& it : view.instances) {
@@ -153,8 +139,7 @@
         const known_instance* const log = find_log_of(view.instances, it);
         const bool heard =
             log != nullptr && status_of(state, log->last_heartbeat.instance) != nullptr;
-        if (it.instance != predecessor_of(view.record) && !heard &&
-            !is_given_up(state, view, it, options, now)) {
+        if (it.instance != predecessor_of(view.record) && !heard) {
             missing.push_back(it);
         }
     }
@@ -233,7 +218,7 @@
     const duration waited = now - state.phase_since;
     const log_position needed = newest_received(state, view);
     const bool old_primary_runs = old_primary_has_everything(state, view, needed);
-    const auto missing = missing_holders(state, view, options, now);
+    const auto missing = missing_holders(state, view);
     // A commit is acknowledged by `synchronous_replicas` replicas, so at most one fewer may be
     // missing if one that has the commit is to be among those that answered.
     const auto max_missing = static_cast<std::size_t>(view.synchronous_replicas - 1);
