--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -141,6 +141,13 @@
                       [&](const delayed_promotion& it) { return it.due_at <= now; });
     }
 
+    /// Instance a ends without notice, and an entry reports that it fails.
+    void lose_primary()
+    {
+        up["a"] = false;
+        handle_entry_report(state, view.record, "a", true, std::nullopt, now);
+    }
+
     /// The instance ends and deregisters.
     void deregister(const std::string& name)
     {
@@ -197,8 +204,7 @@
 {
     service_fixture it;
     it.run(seconds(3));
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(4));
     CHECK(it.view.record.instance == "c");
     CHECK(it.view.record.phase == primary_phase::serving);
@@ -245,8 +251,7 @@
     service_fixture it;
     it.run(seconds(3));
     it.entries_settled = false;
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(6));
     CHECK(it.view.record.phase == primary_phase::suspended);
     CHECK(it.promoted.empty());
@@ -431,15 +436,13 @@
     SECTION("after a loss the warm one is chosen if it has as much")
     {
         it.statuses["b"].received = it.statuses["c"].received;
-        it.up["a"] = false;
-        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.lose_primary();
         it.run(seconds(4));
         CHECK(it.view.record.instance == "b");
     }
     SECTION("after a loss no commit is given up for a warm one")
     {
-        it.up["a"] = false;
-        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.lose_primary();
         it.run(seconds(4));
         CHECK(it.view.record.instance == "c");
     }
@@ -457,8 +460,7 @@
 {
     service_fixture it;
     it.run(seconds(3));
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(4));
     REQUIRE(it.view.record.instance == "c");
     it.up["a"] = true;
@@ -493,8 +495,7 @@
     it.run(seconds(3));
     it.leaving = {"c"};
     it.run(seconds(1));
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(2));
     REQUIRE(!it.promoted.empty());
     CHECK(it.promoted.front() == "c");
@@ -515,8 +516,7 @@
     it.leaving = {"c"};
     it.run(seconds(1));
     it.busy = {"c"};
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(2));
     it.deregister("c");
     const bool new_leader = GENERATE(false, true);
@@ -542,8 +542,7 @@
     it.statuses["b"].received = {1, 100};
     it.deregister("c");
     it.run(seconds(1));
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(2));
     CHECK(it.view.record.instance == "b");
     CHECK(it.view.record.phase == primary_phase::serving);
@@ -612,8 +611,7 @@
     it.born["c"] = 1;
     it.statuses["c"].received = {};
     it.receive_heartbeat("c");
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     it.run(seconds(5));
     CHECK(it.promoted.empty());
     it.up["a"] = true;
@@ -674,8 +672,7 @@
     }
     SECTION("and the primary is lost meanwhile")
     {
-        it.up["a"] = false;
-        handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+        it.lose_primary();
         it.run(seconds(3));
         REQUIRE(!it.promoted.empty());
         CHECK(it.promoted.front() == "c");
@@ -704,8 +701,7 @@
     service_fixture it;
     it.run(seconds(3));
     it.view.evacuated = {"c"};
-    it.up["a"] = false;
-    handle_entry_report(it.state, it.view.record, "a", true, std::nullopt, it.now);
+    it.lose_primary();
     SECTION("while there is another")
     {
         it.run(seconds(4));
