Report event loops that turn late, with the processor time used meanwhile

Event 1006 and balsamdrift_event_loop_delay_seconds name turns of the main loop that came 250 ms late or more, with the processor time that the process used in between: little says that it was stopped or starved, much that its own work took that long.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -8,6 +8,8 @@
 #include "apps/exit_code.h"
 #include "apps/stop_signal.h"
 #include "base/event_log.h"
+#include "base/loop_watch.h"
+#include "base/metrics.h"
 #include "entry/entry_service.h"
 #include "operators/operator_api.h"
 #include "platform/platform_api.h"
@@ -60,12 +62,27 @@
             .secret = common.fleet_secret};
 }
 
+/// Records a turn of the event loop and reports it if it came late.
+void watch_loop(loop_watch& watch)
+{
+    const auto late = record_turn(watch, {.interval = tick_interval}, monotonic_clock::now(),
+                                  process_processor_time());
+    if (late) {
+        log_event(event_id::event_loop_delayed,
+                  {{"delay_ms", milliseconds_text(late->delay)},
+                   {"processor_ms", milliseconds_text(late->processor_time)}});
+        observe_metric("balsamdrift_event_loop_delay_seconds", {}, late->delay);
+    }
+}
+
 /// Runs the event loop until `is_done` returns true; it is called every `tick_interval`. Reads the
 /// settings again on request.
 void run_events(const std::function<bool()>& is_done)
 {
     QTimer timer;
+    loop_watch watch;
     QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
+        watch_loop(watch);
         if (take_reload_request()) {
             reload(FLAGS_settings);
         }
--- a/base/event.cpp
+++ b/base/event.cpp
@@ -20,6 +20,8 @@
          "The settings were reloaded and are in force."},
         {event_id::settings_refused, "settings_refused", error,
          "The reloaded settings were refused; the previous ones stay in force."},
+        {event_id::event_loop_delayed, "event_loop_delayed", warning,
+         "The main event loop turned late; processor_ms is the processor time used meanwhile."},
         {event_id::formation_completed, "formation_completed", info,
          "All control members started without data and agreed on the initial membership."},
         {event_id::election_started, "election_started", info,
--- a/base/event.h
+++ b/base/event.h
@@ -15,6 +15,7 @@
     process_stopped = 1003,
     settings_reloaded = 1004,
     settings_refused = 1005,
+    event_loop_delayed = 1006,
 
     formation_completed = 2001,
     election_started = 2002,
