Soak rig: run whole deployments as real processes from the deploy files

No test ran the deployed shape: control members and statement entries, settings rendered from deploy/, restarts as on the platform.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := g++ cmake ninja-build make git clang-format clang-tidy qt6-base-dev libnng-dev \
             libboost-dev libyaml-cpp-dev libgflags-dev libeasyloggingpp-dev catch2 libpq-dev \
             libsqlite3-dev librapidcheck-dev libssl-dev libmsgpack-cxx-dev nlohmann-json3-dev \
-            libxxhash-dev ccache
+            libxxhash-dev libtomlplusplus-dev ccache
 SOURCE_FOLDERS := apps base benchmarks callers control core databases entry fleet operators \
                   platform pooling rig tests
 SOURCES = $(shell git ls-files --cached --others --exclude-standard $(SOURCE_FOLDERS) \
--- /dev/null
+++ b/rig/soak/link.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace balsamdrift::soak {
+
+/// How the connections of one peer are disturbed. It is applied at the stand-ins' end: bytes are
+/// neither read nor written while a direction is silent, as on a network path that drops packets.
+struct link {
+    bool silent_in = false;
+    bool silent_out = false;
+    /// Connections that were open at this time stay silent for good; new ones work.
+    time_point dead_before{};
+    /// Added to what is sent.
+    duration delay{};
+};
+
+}  // namespace balsamdrift::soak
