--- a/rig/soak/connection.h
+++ b/rig/soak/connection.h
@@ -37,6 +37,7 @@
     void close();
     bool is_closed() const { return closed_; }
     bool has_input() const { return !input_.empty(); }
+    std::string take_input() { return std::exchange(input_, {}); }
 
 private:
     bool is_dead() const { return over_ != nullptr && opened_ < over_->dead_before; }
--- a/rig/soak/deployment.cpp
+++ b/rig/soak/deployment.cpp
@@ -1,8 +1,5 @@
 #include "rig/soak/deployment.h"
 
-#include <fcntl.h>
-#include <sched.h>
-#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -14,6 +11,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "rig/soak/process_launch.h"
 #include "rig/soak/settings_fields.h"
 #include "rig/soak/template_renderer.h"
 
@@ -24,6 +22,8 @@
 constexpr int frontend_port = 8465;
 constexpr int readiness_port = 8460;
 constexpr int control_port = 8462;
+/// Subnets of the proxies start above those of the zones.
+constexpr int proxy_subnet = 50;
 /// Processes that the seeds of a machine name.
 constexpr std::size_t seed_count = 3;
 constexpr milliseconds supervision_interval(20);
@@ -32,7 +32,6 @@
 constexpr int max_restart_ms = 1000;
 /// An end so soon after a disturbance of the machine is put down to it.
 constexpr seconds disturbance_span(1);
-constexpr std::size_t log_tail_bytes = 1500;
 
 std::vector<std::string> split_words(const std::string& text)
 {
@@ -44,23 +43,6 @@
     return out;
 }
 
-/// Restricts the calling process to so many of the processors that it may use.
-void limit_processors(int count)
-{
-    cpu_set_t allowed;
-    CPU_ZERO(&allowed);
-    ::sched_getaffinity(0, sizeof allowed, &allowed);
-    cpu_set_t chosen;
-    CPU_ZERO(&chosen);
-    for (int n = 0; n < CPU_SETSIZE && count > 0; ++n) {
-        if (CPU_ISSET(n, &allowed)) {
-            CPU_SET(n, &chosen);
-            --count;
-        }
-    }
-    ::sched_setaffinity(0, sizeof chosen, &chosen);
-}
-
 }  // namespace
 
 deployment::deployment(event_loop& loop, const site_description& site, deployment_options options,
@@ -108,6 +90,12 @@
     it->folder = options_.folder + "/" + it->name;
     it->log_path = options_.folder + "/" + it->name + ".log";
     std::filesystem::create_directories(it->folder + (is_control ? "/data" : ""));
+    if (options_.proxies) {
+        const int subnet = proxy_subnet + static_cast<int>(zone_number);
+        it->proxy = std::make_unique<fleet_proxy>(
+            loop_, address{host(subnet, number + 10), first_internal_port},
+            address{it->ip, first_internal_port});
+    }
     machines_.push_back(std::move(it));
     return *machines_.back();
 }
@@ -168,7 +156,12 @@
 {
     const deploy_role& role = roles_.at(it.is_control ? "core" : "edge");
     const auto fields = settings_fields(site_, it, role.name, platform_address().text());
-    std::ofstream(it.folder + "/settings.new") << render_template(role.template_text, fields);
+    std::string text = render_template(role.template_text, fields);
+    const auto fleet = text.find("fleet:\n");
+    if (it.proxy != nullptr && fleet != std::string::npos) {
+        text.insert(text.find('\n', fleet) + 1, "  advertised: " + it.proxy->at().text() + "\n");
+    }
+    std::ofstream(it.folder + "/settings.new") << text;
     std::filesystem::rename(it.folder + "/settings.new", it.folder + "/settings.toml");
 }
 
@@ -185,49 +178,15 @@
         words[0] = options_.binaries + "/" + std::filesystem::path(words[0]).filename().string();
     }
     const char* path = std::getenv("PATH");
-    std::vector<std::string> environment{"BALSAMDRIFT_BOOT=" + settings, "HOME=/", "LANG=C.UTF-8",
-                                         std::string("PATH=") + (path == nullptr ? "" : path)};
-    std::vector<char*> argv;
-    std::vector<char*> envp;
-    for (std::string& word : words) {
-        argv.push_back(word.data());
-    }
-    for (std::string& word : environment) {
-        envp.push_back(word.data());
-    }
-    argv.push_back(nullptr);
-    envp.push_back(nullptr);
-    const auto descriptors =
-        static_cast<rlim_t>((it.is_control ? site_.control : site_.entry).descriptors);
-
-    const pid_t pid = ::fork();
-    if (pid == 0) {
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int fd = ::open(it.log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-        ::dup2(::open("/dev/null", O_RDONLY), 0);
-        ::dup2(fd, 1);
-        ::dup2(fd, 2);
-        ::close_range(3, ~0U, 0);
-        const rlimit files{descriptors, descriptors};
-        ::setrlimit(RLIMIT_NOFILE, &files);
-        const rlimit dumps{0, 0};
-        ::setrlimit(RLIMIT_CORE, &dumps);
-        if (it.file_limit_bytes > 0) {
-            const rlimit size{static_cast<rlim_t>(it.file_limit_bytes),
-                              static_cast<rlim_t>(it.file_limit_bytes)};
-            ::setrlimit(RLIMIT_FSIZE, &size);
-        }
-        if (options_.cores > 0) {
-            limit_processors(options_.cores);
-        }
-        const sched_param none{};
-        ::sched_setscheduler(0, SCHED_BATCH, &none);
-        if (::chdir(options_.root.c_str()) == 0) {
-            ::execve(argv[0], argv.data(), envp.data());
-        }
-        ::_exit(127);
-    }
-    it.pid = pid;
+    it.pid =
+        launch_process({.words = std::move(words),
+                        .environment = {"BALSAMDRIFT_BOOT=" + settings, "HOME=/", "LANG=C.UTF-8",
+                                        std::string("PATH=") + (path == nullptr ? "" : path)},
+                        .current_folder = options_.root,
+                        .log_path = it.log_path,
+                        .descriptors = (it.is_control ? site_.control : site_.entry).descriptors,
+                        .file_limit_bytes = it.file_limit_bytes,
+                        .cores = options_.cores});
     ++it.incarnation;
     it.ordered_down = false;
     it.frozen = false;
@@ -235,7 +194,7 @@
     it.kill_at.reset();
     it.started_at = monotonic_clock::now();
     disturb(it);
-    record_.note(it.name + " starts, process " + std::to_string(pid));
+    record_.note(it.name + " starts, process " + std::to_string(it.pid));
 }
 
 background deployment::supervise()
@@ -278,8 +237,9 @@
         // After SIGTERM a process ends on its own, with success.
         if ((signalled && WTERMSIG(status) != SIGKILL) ||
             (!signalled && WEXITSTATUS(status) != 0)) {
-            verdicts_.break_rule(rule::fault, it.name + " ended with " + how +
-                                                  " when it was stopped: " + last_lines(it));
+            verdicts_.break_rule(rule::fault,
+                                 it.name + " ended with " + how +
+                                     " when it was stopped: " + last_lines(it.log_path));
         }
         return;
     }
@@ -287,22 +247,12 @@
     const std::string text = it.name + " (incarnation " + std::to_string(it.incarnation) +
                              ") ended by itself with " + how +
                              (disturbed ? ", within 1 s of a disturbance or its start" : "") +
-                             ": " + last_lines(it);
+                             ": " + last_lines(it.log_path);
     verdicts_.break_rule(rule::fault, text);
     std::uniform_int_distribution<int> delay(min_restart_ms, max_restart_ms);
     it.restart_at = monotonic_clock::now() + milliseconds(delay(random_));
 }
 
-std::string deployment::last_lines(const machine& it) const
-{
-    std::ifstream in(it.log_path, std::ios::ate);
-    const auto size = static_cast<std::size_t>(std::max<std::streamoff>(0, in.tellg()));
-    std::string out(std::min(size, log_tail_bytes), '\0');
-    in.seekg(static_cast<std::streamoff>(size - out.size()));
-    in.read(out.data(), static_cast<std::streamsize>(out.size()));
-    return "\n" + out;
-}
-
 void deployment::disturb(machine& it)
 {
     it.disturbed_at = monotonic_clock::now();
@@ -318,15 +268,18 @@
     std::size_t up = 0;
     const std::vector<machine*> members = controls();
     for (const machine* it : members) {
-        up += is_running(*it) && !it->path.silent_in && !it->path.silent_out ? 1 : 0;
+        up += is_running(*it) && !is_disturbed(it->path) &&
+                      (it->proxy == nullptr || !is_disturbed(it->proxy->path))
+                  ? 1
+                  : 0;
     }
     if (up * 2 <= members.size()) {
         majority_lost_ = monotonic_clock::now();
     }
     for (const auto& it : machines_) {
         // A disturbance that lasts acts until its end.
-        if (it->frozen || it->path.silent_in || it->path.silent_out ||
-            it->path.delay > duration::zero()) {
+        if (it->frozen || is_disturbed(it->path) ||
+            (it->proxy != nullptr && is_disturbed(it->proxy->path))) {
             it->disturbed_at = monotonic_clock::now();
             last_disturbance_ = it->disturbed_at;
             core_disturbed_ = it->is_control ? it->disturbed_at : core_disturbed_;
@@ -426,45 +379,21 @@
     return out;
 }
 
-void deployment::report_usage()
+std::string deployment::usage() const
 {
     std::array<double, 2> processor{};
     std::array<long, 2> memory{};
     for (const auto& it : machines_) {
-        measure(*it);
-        processor.at(it->is_control ? 1 : 0) += it->processor_seconds;
-        memory.at(it->is_control ? 1 : 0) =
-            std::max(memory.at(it->is_control ? 1 : 0), it->peak_memory_kb);
+        const std::size_t n = it->is_control ? 1 : 0;
+        processor.at(n) += it->processor_seconds + processor_seconds(it->pid);
+        memory.at(n) = std::max({memory.at(n), it->peak_memory_kb, peak_memory_kb(it->pid)});
     }
     std::ostringstream out;
     out << "processor time: entries " << processor[0] << " s, control " << processor[1]
         << " s; highest memory of a process: entry " << memory[0] / 1024 << " of "
         << site_.entry.memory_mb << " MB, control " << memory[1] / 1024 << " of "
         << site_.control.memory_mb << " MB";
-    record_.note(out.str());
-    verdicts_.remark(out.str());
-}
-
-void deployment::measure(machine& it) const
-{
-    if (it.pid <= 0) {
-        return;
-    }
-    std::ifstream status("/proc/" + std::to_string(it.pid) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.rfind("VmHWM:", 0) == 0) {
-            it.peak_memory_kb = std::max(it.peak_memory_kb, std::atol(line.c_str() + 6));
-        }
-    }
-    std::ifstream stat("/proc/" + std::to_string(it.pid) + "/stat");
-    std::string text;
-    std::getline(stat, text);
-    const std::vector<std::string> words = split_words(text.substr(text.rfind(')') + 1));
-    if (words.size() > 12) {
-        // User and system time, fields 14 and 15 of the file.
-        it.processor_seconds += static_cast<double>(std::stol(words[11]) + std::stol(words[12])) /
-                                static_cast<double>(::sysconf(_SC_CLK_TCK));
-    }
+    return out.str();
 }
 
 void deployment::end_all()
--- a/rig/soak/deployment.h
+++ b/rig/soak/deployment.h
@@ -28,6 +28,8 @@
     /// Processors that the processes may use; 0: all.
     int cores = 0;
     std::uint64_t seed = 1;
+    /// Puts a proxy before each process, on the paths from the other processes.
+    bool proxies = false;
 };
 
 /// Whether rules with a time bound hold for a machine.
@@ -74,8 +76,8 @@
     address platform_address() const { return {host(200, 2), 8466}; }
     bool is_running(const machine& it) const { return it.pid > 0 && !it.frozen; }
     time_point last_disturbance() const { return last_disturbance_; }
-    /// Writes what the processes used to the record.
-    void report_usage();
+    /// What the processes have used so far.
+    std::string usage() const;
     void end_all();
 
 private:
@@ -85,9 +87,7 @@
     void render(const machine& it) const;
     void start_process(machine& it);
     void on_end(machine& it, int status, const rusage& usage);
-    void measure(machine& it) const;
     void check_majority();
-    std::string last_lines(const machine& it) const;
 
     event_loop& loop_;
     const site_description& site_;
--- a/rig/soak/fault_series.cpp
+++ b/rig/soak/fault_series.cpp
@@ -48,6 +48,7 @@
         {"release_instance", &fault_series::release_instance},
         {"silence_instance", &fault_series::silence_instance},
         {"lose_acks", &fault_series::lose_acks},
+        {"fleet_path", &fault_series::disturb_fleet_path},
         {"limit_files", &fault_series::limit_files}};
     return all;
 }
@@ -361,6 +362,30 @@
     on_.changes.lost_acks = 0;
 }
 
+background fault_series::disturb_fleet_path()
+{
+    machine& it = some(random_() % 2 == 0 ? on_.machines.entries() : on_.machines.controls());
+    if (it.proxy == nullptr) {
+        co_return;
+    }
+    link& path = it.proxy->path;
+    const auto choice = random_() % 5;
+    on_.record.note("the path from other processes to " + it.name + " is " +
+                    (choice == 0   ? "slow"
+                     : choice == 1 ? "dead for open connections"
+                                   : "silent"));
+    path.delay = choice == 0 ? between(20, 300) : milliseconds(0);
+    path.dead_before = choice == 1 ? monotonic_clock::now() : path.dead_before;
+    path.silent_in = choice == 2 || choice == 3;
+    path.silent_out = choice == 2 || choice == 4;
+    on_.machines.disturb(it);
+    const milliseconds length = between(1000, 7000);
+    co_await on_.loop.sleep(length);
+    path.silent_in = path.silent_out = false;
+    path.delay = {};
+    on_.machines.disturb(it);
+}
+
 background fault_series::limit_files()
 {
     machine& it = some(on_.machines.controls());
--- a/rig/soak/fault_series.h
+++ b/rig/soak/fault_series.h
@@ -65,6 +65,7 @@
     background release_instance();
     background silence_instance();
     background lose_acks();
+    background disturb_fleet_path();
     background limit_files();
 
     machine& some(const std::vector<machine*>& of) { return *of[random_() % of.size()]; }
--- a/rig/soak/link.h
+++ b/rig/soak/link.h
@@ -15,4 +15,9 @@
     duration delay{};
 };
 
+inline bool is_disturbed(const link& it)
+{
+    return it.silent_in || it.silent_out || it.delay > duration::zero();
+}
+
 }  // namespace balsamdrift::soak
--- a/rig/soak/machine.h
+++ b/rig/soak/machine.h
@@ -2,11 +2,13 @@
 
 #include <sys/types.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "rig/soak/address.h"
+#include "rig/soak/fleet_proxy.h"
 #include "rig/soak/link.h"
 
 namespace balsamdrift::soak {
@@ -40,16 +42,16 @@
     /// Connections between it and the stand-ins.
     link path;
 
+    /// Between the other processes and it; null without faults of such paths.
+    std::unique_ptr<fleet_proxy> proxy;
+
     // What the platform sees of an entry.
     bool ready = false;
     int missed_probes = 0;
-    int probes = 0;
-    int ready_probes = 0;
 
     // Usage over all incarnations that have ended.
     double processor_seconds = 0;
     long peak_memory_kb = 0;
-    long threads = 0;
 };
 
 }  // namespace balsamdrift::soak
--- a/rig/soak/soak_run.cpp
+++ b/rig/soak/soak_run.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 #include "rig/soak/fault_series.h"
@@ -16,6 +17,7 @@
 
 constexpr milliseconds disturbance_interval(200);
 constexpr seconds statements_kept(30);
+constexpr seconds usage_interval(5);
 /// Load after the recovery from the final fault.
 constexpr seconds recovered_span(8);
 constexpr int first_instance_host = 10;
@@ -46,7 +48,10 @@
                     .root = options.root,
                     .binaries = options.binaries,
                     .cores = options.cores,
-                    .seed = options.seed},
+                    .seed = options.seed,
+                    .proxies = std::any_of(
+                        options.faults.begin(), options.faults.end(),
+                        [](const std::string& it) { return it == "mixed" || it == "fleet_path"; })},
                    record, verdicts),
           platform(loop, site, machines, services, record, verdicts, options.seed + 1),
           changes(loop, site, machines, verdicts, record, options.seed + 2),
@@ -94,6 +99,17 @@
     }
 }
 
+/// Writes now and then how busy the machine is.
+background watch_usage(stage& on)
+{
+    while (true) {
+        std::string load;
+        std::getline(std::ifstream("/proc/loadavg"), load);
+        on.record.note("load of the machine: " + load + "; " + on.machines.usage());
+        co_await on.loop.sleep(usage_interval);
+    }
+}
+
 background conduct(stage& on, const soak_options& options, fault_series& faults)
 {
     const time_point start = monotonic_clock::now();
@@ -107,6 +123,7 @@
     on.machines.supervise();
     on.platform.start();
     watch_disturbances(on);
+    watch_usage(on);
     co_await on.loop.sleep(first_change_delay);
     on.changes.begin();
     const duration lead = start + on.site.lead + options.start_spread - monotonic_clock::now();
@@ -137,7 +154,7 @@
     on.callers.stop();
     const time_point load_end = monotonic_clock::now() - seconds(1);
     on.record.note("the load ends");
-    on.machines.report_usage();
+    on.verdicts.remark(on.machines.usage());
     const milliseconds contact = on.site.bound_ms("contactMs");
     on.changes.read_back(contact);
     co_await on.loop.sleep(contact + seconds(2));
