Treat the limit of the file size like a full disk

Cause: a write over the limit raises a signal, whose default ends the process, before it fails with EFBIG. After one failed write the stream of the log, file or standard output, also stayed in its error state and dropped all later lines.

Change: SIGXFSZ is ignored, so EFBIG takes the path of ENOSPC (events 2011, 2016, 2017). The log clears the errors of a stream before each line.

--- a/apps/stop_signal.cpp
+++ b/apps/stop_signal.cpp
@@ -27,6 +27,8 @@
     std::signal(SIGINT, on_signal);
     std::signal(SIGHUP, on_signal);
     std::signal(SIGPIPE, SIG_IGN);
+    // A write over the file size limit then fails with EFBIG, like a write to a full disk.
+    std::signal(SIGXFSZ, SIG_IGN);
 }
 
 bool stop_requested() { return stop_flag; }
--- a/apps/stop_signal.h
+++ b/apps/stop_signal.h
@@ -3,7 +3,7 @@
 namespace balsamdrift {
 
 /// Installs the signal handlers: SIGTERM and SIGINT request a stop, SIGHUP requests that the
-/// settings are read again, SIGPIPE is ignored.
+/// settings are read again, SIGPIPE and SIGXFSZ are ignored.
 void watch_signals();
 
 /// Returns whether a stop has been requested.
--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -3,9 +3,11 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <ctime>
 #include <deque>
 #include <iomanip>
+#include <iostream>
 #include <memory>
 #include <mutex>
 #include <sstream>
@@ -81,8 +83,23 @@
     return text.str();
 }
 
+/// Clears the errors of earlier writes. A stream that failed once (a full disk, a pipe that is full
+/// for a moment) would drop all later lines.
+void clear_output_errors()
+{
+    std::clearerr(stdout);
+    std::cout.clear();
+    el::Logger* const logger = el::Loggers::getLogger("default");
+    for (const el::Level level : {el::Level::Info, el::Level::Warning, el::Level::Error}) {
+        if (auto* const file = logger->typedConfigurations()->fileStream(level)) {
+            file->clear();
+        }
+    }
+}
+
 void write_line(const log_line& line)
 {
+    clear_output_errors();
     switch (line.severity) {
         case event_severity::info: LOG(INFO) << line.text; return;
         case event_severity::warning: LOG(WARNING) << line.text; return;
--- /dev/null
+++ b/tests/process_start_test.cpp
@@ -0,0 +1,217 @@
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <QElapsedTimer>
+#include <QProcess>
+#include <QTcpServer>
+#include <QTemporaryDir>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <string>
+
+// Guards against processes that end by themselves, or do not start, because of what a real machine
+// does to them: limits, signals, broken standard streams, addresses and files that are not there
+// yet.
+
+namespace {
+
+constexpr int start_timeout_ms = 15'000;
+constexpr int stop_timeout_ms = 10'000;
+
+/// One control member with files of its own, which leads a group of one.
+class member_process {
+public:
+    member_process()
+    {
+        static int number = 0;
+        // Each process of the test has a loopback address of its own.
+        address_ = "127.77." + std::to_string(getpid() % 250) + "." + std::to_string(++number);
+        std::ofstream(path("secret")) << "a secret of sixteen bytes\n";
+        write_settings("first_start: true");
+        process_.setProcessChannelMode(QProcess::MergedChannels);
+    }
+
+    ~member_process()
+    {
+        if (process_.state() != QProcess::NotRunning) {
+            process_.kill();
+            process_.waitForFinished(stop_timeout_ms);
+        }
+    }
+
+    std::string path(const std::string& name) const
+    {
+        return folder_.path().toStdString() + "/" + name;
+    }
+
+    const std::string& address() const { return address_; }
+
+    std::string settings(const std::string& name = "member.yaml") const { return path(name); }
+
+    std::string settings_text(const std::string& extra) const
+    {
+        return "role: control\nname: member\ndata_folder: " + path("data") +
+               "\noperator_token_file: secret\nfleet: {listen: \"" + address_ +
+               ":7600\", secret_file: secret}\noperators: {listen: \"" + address_ +
+               ":7601\"}\ncoordination:\n  platform: {listen: \"" + address_ +
+               ":7602\", also_listen: [\"" + address_ + ":7603\"]}\n  promotions: \"" + address_ +
+               ":7604\"\n  disks_lost_at_once: 0\n  regions: {z: r}\n  seed_hosts: [\"" + address_ +
+               ":7602\"]\n  " + extra + "\n";
+    }
+
+    void write_settings(const std::string& extra)
+    {
+        std::ofstream(settings()) << settings_text(extra);
+    }
+
+    /// Called in the child before it runs the program.
+    void on_child(std::function<void()> function)
+    {
+        process_.setChildProcessModifier(std::move(function));
+    }
+
+    QProcess& process() { return process_; }
+
+    void start(const QStringList& arguments)
+    {
+        process_.start(QString::fromUtf8(BALSAMDRIFT_BINARIES "/balsamdrift"), arguments);
+        REQUIRE(process_.waitForStarted(start_timeout_ms));
+    }
+
+    void start() { start({"--settings", QString::fromStdString(settings())}); }
+
+    /// Waits until the output holds the text.
+    bool wait_for(const std::string& text, int timeout_ms = start_timeout_ms)
+    {
+        QElapsedTimer clock;
+        clock.start();
+        while (output().find(text) == std::string::npos) {
+            if (clock.elapsed() > timeout_ms || process_.state() == QProcess::NotRunning) {
+                return output().find(text) != std::string::npos;
+            }
+            process_.waitForReadyRead(20);
+        }
+        return true;
+    }
+
+    const std::string& output()
+    {
+        output_ += process_.readAll().toStdString();
+        return output_;
+    }
+
+    bool is_running()
+    {
+        process_.waitForFinished(1);
+        return process_.state() == QProcess::Running;
+    }
+
+    void signal(int number) { ::kill(static_cast<pid_t>(process_.processId()), number); }
+
+    /// Asks the process to stop. Returns whether it ended in time and with success.
+    bool stop()
+    {
+        signal(SIGTERM);
+        return ends_with(0);
+    }
+
+    bool ends_with(int code)
+    {
+        return process_.waitForFinished(stop_timeout_ms) &&
+               process_.exitStatus() == QProcess::NormalExit && process_.exitCode() == code;
+    }
+
+private:
+    QTemporaryDir folder_;
+    std::string address_;
+    QProcess process_;
+    std::string output_;
+};
+
+/// Whether something accepts connections at the address.
+bool accepts(const std::string& address, std::uint16_t port)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(port);
+    ::inet_pton(AF_INET, address.c_str(), &to.sin_addr);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast): as connect(2) asks for it.
+    const bool ok = ::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
+    ::close(fd);
+    return ok;
+}
+
+bool wait_until_accepts(const std::string& address, std::uint16_t port)
+{
+    QElapsedTimer clock;
+    clock.start();
+    while (!accepts(address, port)) {
+        if (clock.elapsed() > start_timeout_ms) {
+            return false;
+        }
+        ::usleep(20'000);
+    }
+    return true;
+}
+
+/// Blocks until a reader has opened the named pipe; then writes to it.
+int open_for_reader(const std::string& pipe)
+{
+    QElapsedTimer clock;
+    clock.start();
+    while (clock.elapsed() < start_timeout_ms) {
+        const int fd = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        if (fd >= 0) {
+            return fd;
+        }
+        ::usleep(5'000);
+    }
+    return -1;
+}
+
+}  // namespace
+
+TEST_CASE("a member whose files cannot grow keeps running", "[process_start]")
+{
+    member_process it;
+    it.on_child([] {
+        const rlimit limit{100, 100};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    });
+    it.start();
+    REQUIRE(it.wait_for("storage_failed"));
+    REQUIRE(it.wait_for("ready "));
+    CHECK(it.is_running());
+    CHECK(it.stop());
+}
+
+TEST_CASE("a log file that cannot grow for a while loses only the lines of that while",
+          "[process_start]")
+{
+    member_process it;
+    const std::string log = it.path("events.log");
+    it.write_settings("first_start: true\nlog_file: " + log);
+    it.on_child([] {
+        const rlimit limit{300, RLIM_INFINITY};
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    });
+    it.start();
+    REQUIRE(it.wait_for("ready "));
+    REQUIRE(wait_until_accepts(it.address(), 7602));
+    // The limit is lifted for the running process, as room returns to a disk.
+    const rlimit unlimited{RLIM_INFINITY, RLIM_INFINITY};
+    REQUIRE(::prlimit(static_cast<pid_t>(it.process().processId()), RLIMIT_FSIZE, &unlimited,
+                      nullptr) == 0);
+    CHECK(it.stop());
+    std::ifstream in(log);
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    CHECK(text.find("process_stopped") != std::string::npos);
+}
