Install the signal handlers before anything else

What operators saw: SIGHUP or SIGPIPE within the first 10 to 20 ms of a process ended it (SIGHUP at 0, 2, 5 and 10 ms, SIGPIPE at 20 ms too); on a busy machine the settings take longer to read and the gap is wider. A change of the settings that meets a restart sends just that signal.

Cause: the handlers were installed after the settings had been read.

Change: they are the first statement of main. What remains is the time in which the libraries are loaded before main, in which the default action applies.

Evidence: the test holds a process in the reading of its settings and sends each signal; it failed before (the process ended by the signal).

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -246,6 +246,7 @@
 
 int main(int argc, char** argv)
 {
+    watch_signals();
     gflags::SetUsageMessage(
         "balsamdrift --settings FILE [--check]\n\n"
         "Runs a control member or an entry, as the settings say.\n"
@@ -269,7 +270,6 @@
         return to_int(exit_code::success);
     }
     QCoreApplication app(argc, argv);
-    watch_signals();
     const auto& valid = std::get<daemon_settings>(settings);
     const int code =
         std::visit(overloaded{
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -215,3 +215,23 @@
     const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
     CHECK(text.find("process_stopped") != std::string::npos);
 }
+
+TEST_CASE("signals before the settings are read do not end the process", "[process_start]")
+{
+    for (const int number : {SIGHUP, SIGPIPE, SIGXFSZ}) {
+        member_process it;
+        const std::string pipe = it.path("pipe.yaml");
+        REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+        it.start({"--check", "--settings", QString::fromStdString(pipe)});
+        const int fd = open_for_reader(pipe);
+        // The reader may have ended.
+        std::signal(SIGPIPE, SIG_IGN);
+        REQUIRE(fd >= 0);
+        it.signal(number);
+        ::usleep(50'000);
+        const std::string text = it.settings_text("first_start: true");
+        CHECK(::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        ::close(fd);
+        CHECK(it.ends_with(0));
+    }
+}
