Open the standard descriptors where they are closed

What operators saw: a process that was started with the descriptors 0 to 2 closed wrote its log lines into an event counter (descriptor 1) and an epoll instance (descriptor 2) of its own; with another order of opening these numbers belong to sockets or to the log of the consensus.

Change: /dev/null is opened for each closed one before anything else is opened.

Ruled out: a reader of standard output that is gone, and /dev/full, did not end a process before either.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -6,6 +6,7 @@
 
 #include "apps/daemon_settings.h"
 #include "apps/exit_code.h"
+#include "apps/process_limits.h"
 #include "apps/stop_signal.h"
 #include "base/event_log.h"
 #include "base/loop_watch.h"
@@ -247,6 +248,7 @@
 int main(int argc, char** argv)
 {
     watch_signals();
+    open_standard_descriptors();
     gflags::SetUsageMessage(
         "balsamdrift --settings FILE [--check]\n\n"
         "Runs a control member or an entry, as the settings say.\n"
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -235,3 +235,21 @@
         CHECK(it.ends_with(0));
     }
 }
+
+TEST_CASE("closed standard descriptors do not become sockets or files", "[process_start]")
+{
+    member_process it;
+    it.on_child([] {
+        ::close(0);
+        ::close(1);
+        ::close(2);
+    });
+    it.start();
+    REQUIRE(wait_until_accepts(it.address(), 7602));
+    for (const char* fd : {"0", "1", "2"}) {
+        const std::string target = std::filesystem::read_symlink(
+            "/proc/" + std::to_string(it.process().processId()) + "/fd/" + fd);
+        CHECK(target == "/dev/null");
+    }
+    CHECK(it.stop());
+}
