Start and stop also when nobody reads the output

Cause: the line that reports readiness was written by the main thread, which blocked. At the end of the process, exit() waited for the lock of the stream that the log's thread held.

Change: the line goes through the log's queue, which drops lines instead of blocking. The process ends by _Exit() once the log is closed: no static object is destroyed under the threads that nng and the log still have.

Evidence: the test failed before (no end after SIGTERM within 10 s).

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -3,6 +3,7 @@
 #include <QCoreApplication>
 #include <QTimer>
 #include <cstdio>
+#include <cstdlib>
 
 #include "apps/daemon_settings.h"
 #include "apps/exit_code.h"
@@ -30,11 +31,7 @@
 
 /// Prints the listening addresses to standard output, where the process that started this one reads
 /// them.
-void report_ready(const std::string& addresses)
-{
-    std::printf("ready %s\n", addresses.c_str());
-    std::fflush(stdout);
-}
+void report_ready(const std::string& addresses) { print_line("ready " + addresses); }
 
 int fail(const failure& cause)
 {
@@ -290,5 +287,7 @@
                    },
                    valid);
     close_event_log();
-    return code;
+    // Threads of nng, and one that writes to an output that blocks, still run. They must neither
+    // find objects destroyed nor be waited for.
+    std::_Exit(code);
 }
--- a/base/async_log_writer.h
+++ b/base/async_log_writer.h
@@ -15,6 +15,8 @@
 struct log_line {
     event_severity severity = event_severity::info;
     std::string text;
+    /// Written to standard output as it is, also where the log has a file.
+    bool is_output = false;
 };
 
 /// Settings of async_log_writer.
--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -100,6 +100,10 @@
 void write_line(const log_line& line)
 {
     clear_output_errors();
+    if (line.is_output) {
+        std::cout << line.text << std::endl;
+        return;
+    }
     switch (line.severity) {
         case event_severity::info: LOG(INFO) << line.text; return;
         case event_severity::warning: LOG(WARNING) << line.text; return;
@@ -153,6 +157,15 @@
     }
 }
 
+void print_line(std::string text)
+{
+    log_line line{event_severity::info, std::move(text), true};
+    const std::lock_guard lock(state().mutex);
+    if (!state().writer || !state().writer->push(line)) {
+        write_line(line);
+    }
+}
+
 void log_event(event_id id, std::initializer_list<event_field> fields)
 {
     const event_description& row = describe(id);
--- a/base/event_log.h
+++ b/base/event_log.h
@@ -39,6 +39,10 @@
 /// afterwards are written synchronously.
 void close_event_log();
 
+/// Writes a line to standard output after the lines that were logged before. Like these, it does
+/// not wait for an output that blocks.
+void print_line(std::string text);
+
 /// Logs an event: one line in the log and one event on the timeline. May be called from any thread
 /// and does not wait for the log output. An event beyond its rate limit is neither written nor
 /// kept, a line for which the queue is full is not written; both are counted in
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -253,3 +253,26 @@
     }
     CHECK(it.stop());
 }
+
+TEST_CASE("a process whose output nobody reads becomes ready and stops", "[process_start]")
+{
+    member_process it;
+    int ends[2];
+    REQUIRE(::pipe2(ends, O_CLOEXEC) == 0);
+    // Full, so that the first write blocks.
+    ::fcntl(ends[1], F_SETFL, O_NONBLOCK);
+    const std::string filler(4096, 'x');
+    while (::write(ends[1], filler.data(), filler.size()) > 0) {
+    }
+    ::fcntl(ends[1], F_SETFL, 0);
+    it.on_child([&] {
+        ::dup2(ends[1], 1);
+        ::dup2(ends[1], 2);
+    });
+    it.start();
+    CHECK(wait_until_accepts(it.address(), 7602));
+    ::usleep(300'000);
+    CHECK(it.stop());
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
