Find the settings at the place that BALSAMDRIFT_BOOT names

What operators saw: the deploy file passed a fixed path. On a machine that runs several processes, or that keeps the settings elsewhere, each start ended with code 78, or all processes read the same file.

Evidence: the test failed before (code 64).

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -240,6 +240,16 @@
     return to_int(exit_code::success);
 }
 
+/// Path of the settings file; empty if neither the command line nor the environment names one.
+std::string settings_file()
+{
+    if (!FLAGS_settings.empty()) {
+        return FLAGS_settings;
+    }
+    const char* const path = std::getenv("BALSAMDRIFT_BOOT");
+    return path == nullptr ? std::string() : path;
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -247,12 +257,14 @@
     watch_signals();
     open_standard_descriptors();
     gflags::SetUsageMessage(
-        "balsamdrift --settings FILE [--check]\n\n"
-        "Runs a control member or an entry, as the settings say.\n"
+        "balsamdrift [--settings FILE] [--check]\n\n"
+        "Runs a control member or an entry, as the settings say. Without --settings, the\n"
+        "variable BALSAMDRIFT_BOOT names the file.\n"
         "Exit codes: 0 stopped as asked, 64 wrong command line, 69 an address or\n"
         "the data folder cannot be used, 78 wrong settings.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    FLAGS_settings = settings_file();
     if (FLAGS_settings.empty() || argc > 1) {
         std::fprintf(stderr, "usage: balsamdrift --settings FILE [--check]\n");
         return to_int(exit_code::usage);
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -276,3 +276,14 @@
     ::close(ends[0]);
     ::close(ends[1]);
 }
+
+TEST_CASE("the settings are found at the place that the environment names", "[process_start]")
+{
+    member_process it;
+    auto environment = QProcessEnvironment::systemEnvironment();
+    environment.insert("BALSAMDRIFT_BOOT", QString::fromStdString(it.settings()));
+    it.process().setProcessEnvironment(environment);
+    it.start(QStringList{});
+    CHECK(it.wait_for("ready "));
+    CHECK(it.stop());
+}
