Wait for settings that are missing or incomplete at the start

What operators saw: a process that starts while its settings file is replaced in place reads half of it, or none, and ends with code 78.

Evidence: the test failed before (the process ended).

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <cstdio>
 #include <cstdlib>
+#include <thread>
 
 #include "apps/daemon_settings.h"
 #include "apps/exit_code.h"
@@ -27,6 +28,10 @@
 
 constexpr milliseconds tick_interval(10);
 
+/// Longer than it takes to replace a file, also where a machine is busy.
+constexpr seconds settings_limit(3);
+constexpr milliseconds settings_read_interval(100);
+
 int to_int(exit_code code) { return static_cast<int>(code); }
 
 /// Prints the listening addresses to standard output, where the process that started this one reads
@@ -240,6 +245,21 @@
     return to_int(exit_code::success);
 }
 
+/// Reads the settings. The file may be missing or incomplete while it is written anew, so what is
+/// wrong with it is returned only after `settings_limit`.
+std::variant<daemon_settings, settings_problems> await_settings(const std::string& file)
+{
+    const time_point until = monotonic_clock::now() + settings_limit;
+    while (true) {
+        auto settings = read_settings(file, FLAGS_secrets);
+        if (std::holds_alternative<daemon_settings>(settings) || FLAGS_check ||
+            monotonic_clock::now() >= until || stop_requested()) {
+            return settings;
+        }
+        std::this_thread::sleep_for(settings_read_interval);
+    }
+}
+
 /// Path of the settings file; empty if neither the command line nor the environment names one.
 std::string settings_file()
 {
@@ -269,12 +289,12 @@
         std::fprintf(stderr, "usage: balsamdrift --settings FILE [--check]\n");
         return to_int(exit_code::usage);
     }
-    const auto settings = read_settings(FLAGS_settings, FLAGS_secrets);
+    const auto settings = await_settings(FLAGS_settings);
     if (const auto* problems = std::get_if<settings_problems>(&settings)) {
         for (const std::string& it : problems->lines) {
             std::fprintf(stderr, "%s\n", it.c_str());
         }
-        return to_int(exit_code::settings);
+        return to_int(stop_requested() ? exit_code::success : exit_code::settings);
     }
     if (FLAGS_check) {
         std::printf("the settings are valid\n");
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -287,3 +287,19 @@
     CHECK(it.wait_for("ready "));
     CHECK(it.stop());
 }
+
+TEST_CASE("a settings file that is written while the process starts is awaited", "[process_start]")
+{
+    member_process it;
+    const std::string text = it.settings_text("first_start: true");
+    // Half of the file, then none, then the whole.
+    std::ofstream(it.settings()) << text.substr(0, text.size() / 2);
+    it.start();
+    ::usleep(300'000);
+    std::filesystem::remove(it.settings());
+    ::usleep(300'000);
+    CHECK(it.is_running());
+    it.write_settings("first_start: true");
+    CHECK(it.wait_for("ready "));
+    CHECK(it.stop());
+}
