Report files that cannot be read instead of ending

What operators saw: a read error in the data folder (a folder in place of the file `incarnation`, EISDIR; an EIO of the disk takes the same path) or in the settings file ended the process by SIGABRT, an uncaught std::ios_base::failure.

Cause: an iterator over a stream buffer throws what the stream itself would keep as its state, and yaml-cpp reads the same way.

Change: data and secret files are read by istream::read(); the reader of the settings catches the failure. A member then tries again every 500 ms, as with a full disk, and comes back without a restart.

Evidence: both tests failed before (end by a signal). The same pattern was looked for elsewhere: no other file of the programs is read by iterators.

--- a/base/settings_reader.cpp
+++ b/base/settings_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <ios>
 #include <sstream>
 
 namespace balsamdrift {
@@ -85,6 +86,9 @@
     catch (const YAML::BadFile&) {
         report->problems.push_back(file + ": the settings file cannot be opened");
     }
+    catch (const std::ios_base::failure& ex) {
+        report->problems.push_back(file + ": the settings file cannot be read: " + ex.what());
+    }
     catch (const YAML::ParserException& ex) {
         report->problems.push_back(file + ":" + std::to_string(ex.mark.line + 1) +
                                    ": not valid YAML: " + ex.msg);
--- a/control/synced_file.cpp
+++ b/control/synced_file.cpp
@@ -3,16 +3,17 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
-#include <iterator>
 
 namespace balsamdrift {
 namespace {
 
 constexpr int file_mode = 0600;
+constexpr std::size_t read_block_bytes = std::size_t{16} * 1024;
 
 /// Returns a failure with the text of `errno`.
 failure system_failure(const std::string& action) { return {action + ": " + std::strerror(errno)}; }
@@ -103,7 +104,12 @@
     if (!in) {
         return failure{"cannot open " + path};
     }
-    std::string content{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    std::string content;
+    std::array<char, read_block_bytes> block{};
+    // read() reports an error of the disk in the state of the stream; an iterator would throw.
+    while (in.read(block.data(), block.size()) || in.gcount() > 0) {
+        content.append(block.data(), static_cast<std::size_t>(in.gcount()));
+    }
     if (in.bad()) {
         return failure{"cannot read " + path};
     }
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -303,3 +303,25 @@
     CHECK(it.wait_for("ready "));
     CHECK(it.stop());
 }
+
+TEST_CASE("a settings file that cannot be read is reported", "[process_start]")
+{
+    member_process it;
+    it.start({"--check", "--settings", QString::fromStdString(it.path("."))});
+    CHECK(it.ends_with(78));
+    CHECK(it.output().find("cannot be read") != std::string::npos);
+}
+
+TEST_CASE("a member whose files cannot be read keeps running and tries again", "[process_start]")
+{
+    member_process it;
+    // Each read of a folder fails, like those of a broken disk.
+    std::filesystem::create_directories(it.path("data") + "/incarnation");
+    it.start();
+    REQUIRE(it.wait_for("storage_failed"));
+    REQUIRE(it.wait_for("ready "));
+    CHECK(it.is_running());
+    std::filesystem::remove(it.path("data") + "/incarnation");
+    CHECK(it.wait_for("storage_restored"));
+    CHECK(it.stop());
+}
