Wait at the start for addresses that are in use or not there yet

What operators saw: an address that another process holds for 2 s, or an IP address that the machine does not have yet, ended the start at once with code 69; the process before it on the same machine may just be closing.

Change: all listeners (fleet, HTTP with metrics, callers' lines) try again every 100 ms up to the new setting `start_limit`, 30 s by default, which covers the longest stop of an entry. Event 1007 names the address and the reason, event 1008 the end of a start that failed; SIGTERM ends the wait with code 0. A start that fails half-way stops the fleet's thread before the objects that it calls are destroyed.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -38,8 +38,14 @@
 /// them.
 void report_ready(const std::string& addresses) { print_line("ready " + addresses); }
 
+/// Ends the start, which failed unless a stop was requested meanwhile.
 int fail(const failure& cause)
 {
+    if (stop_requested()) {
+        log_event(event_id::process_stopped);
+        return to_int(exit_code::success);
+    }
+    log_event(event_id::process_failed, {{"reason", cause.message}});
     std::fprintf(stderr, "balsamdrift: %s\n", cause.message.c_str());
     return to_int(exit_code::unavailable);
 }
@@ -58,6 +64,24 @@
     log_event(event_id::settings_reloaded);
 }
 
+start_retry retry_of(const common_settings& common)
+{
+    return {.limit = common.start_limit, .cancelled = stop_requested};
+}
+
+/// Receives fleet messages no longer than the objects that handle them live, also where a start
+/// fails half-way.
+class fleet_guard {
+public:
+    explicit fleet_guard(fleet_node& fleet) : fleet_(fleet) {}
+    ~fleet_guard() { fleet_.stop(); }
+    fleet_guard(const fleet_guard&) = delete;
+    fleet_guard& operator=(const fleet_guard&) = delete;
+
+private:
+    fleet_node& fleet_;
+};
+
 fleet_options fleet_options_of(const common_settings& common)
 {
     return {.listen = common.fleet_listen,
@@ -106,7 +130,9 @@
         requests = make_failover_requests(&requests_owner, settings.coordination->promotions);
     }
     control_service control(settings.control, fleet, requests);
-    auto started = fleet.start([&](fleet_message it) { control.receive(std::move(it)); });
+    const start_retry retry = retry_of(settings.common);
+    const fleet_guard stops_before_control(fleet);
+    auto started = fleet.start([&](fleet_message it) { control.receive(std::move(it)); }, retry);
     if (!succeeded(started)) {
         return fail(failure_of(started));
     }
@@ -118,7 +144,7 @@
                           [&](const http_request& request, const http_responder& responder) {
                               operator_handler.handle(request, responder);
                           });
-    auto listening = operators.start();
+    auto listening = operators.start(retry);
     if (!succeeded(listening)) {
         return fail(failure_of(listening));
     }
@@ -130,7 +156,7 @@
             [&](const http_request& request, const http_responder& responder) {
                 platform_handler.handle(request, responder);
             });
-        if (auto res = platform->start(); !succeeded(res)) {
+        if (auto res = platform->start(retry); !succeeded(res)) {
             return fail(failure_of(res));
         }
     }
@@ -182,18 +208,21 @@
 int run_entry(const entry_settings& settings)
 {
     fleet_node fleet(fleet_options_of(settings.common));
+    const start_retry retry = retry_of(settings.common);
     std::unique_ptr<entry_service> entry;
     std::atomic<entry_service*> receiver = nullptr;
-    auto listening = fleet.start([&](fleet_message it) {
-        if (entry_service* const to = receiver.load()) {
-            to->receive(std::move(it));
-        }
-    });
+    auto listening = fleet.start(
+        [&](fleet_message it) {
+            if (entry_service* const to = receiver.load()) {
+                to->receive(std::move(it));
+            }
+        },
+        retry);
     if (!succeeded(listening)) {
         return fail(failure_of(listening));
     }
     entry = std::make_unique<entry_service>(settings.entry, fleet);
-    auto started = entry->start();
+    auto started = entry->start(retry);
     if (!succeeded(started)) {
         return fail(failure_of(started));
     }
@@ -216,17 +245,20 @@
 int run_statement_entry(const statement_entry_settings& settings)
 {
     fleet_node fleet(fleet_options_of(settings.common));
+    const start_retry retry = retry_of(settings.common);
     std::atomic<statement_entry*> receiver = nullptr;
-    auto listening = fleet.start([&](fleet_message it) {
-        if (statement_entry* const to = receiver.load()) {
-            to->receive(std::move(it));
-        }
-    });
+    auto listening = fleet.start(
+        [&](fleet_message it) {
+            if (statement_entry* const to = receiver.load()) {
+                to->receive(std::move(it));
+            }
+        },
+        retry);
     if (!succeeded(listening)) {
         return fail(failure_of(listening));
     }
     statement_entry entry(settings.entry, fleet);
-    auto started = entry.start();
+    auto started = entry.start(retry);
     if (!succeeded(started)) {
         return fail(failure_of(started));
     }
@@ -245,6 +277,11 @@
     return to_int(exit_code::success);
 }
 
+const common_settings& common_of(const daemon_settings& settings)
+{
+    return std::visit([](const auto& it) -> const common_settings& { return it.common; }, settings);
+}
+
 /// Reads the settings. The file may be missing or incomplete while it is written anew, so what is
 /// wrong with it is returned only after `settings_limit`.
 std::variant<daemon_settings, settings_problems> await_settings(const std::string& file)
@@ -270,6 +307,20 @@
     return path == nullptr ? std::string() : path;
 }
 
+/// Runs the process with its log open.
+int run_logged(const daemon_settings& settings)
+{
+    const common_settings& common = common_of(settings);
+    open_event_log({.process = common.name, .file = common.log_file});
+    return std::visit(
+        overloaded{
+            [](const control_settings& it) { return run_control(it); },
+            [](const entry_settings& it) { return run_entry(it); },
+            [](const statement_entry_settings& it) { return run_statement_entry(it); },
+        },
+        settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
@@ -301,23 +352,7 @@
         return to_int(exit_code::success);
     }
     QCoreApplication app(argc, argv);
-    const auto& valid = std::get<daemon_settings>(settings);
-    const int code =
-        std::visit(overloaded{
-                       [](const control_settings& it) {
-                           open_event_log({.process = it.common.name, .file = it.common.log_file});
-                           return run_control(it);
-                       },
-                       [](const entry_settings& it) {
-                           open_event_log({.process = it.common.name, .file = it.common.log_file});
-                           return run_entry(it);
-                       },
-                       [](const statement_entry_settings& it) {
-                           open_event_log({.process = it.common.name, .file = it.common.log_file});
-                           return run_statement_entry(it);
-                       },
-                   },
-                   valid);
+    const int code = run_logged(std::get<daemon_settings>(settings));
     close_event_log();
     // Threads of nng, and one that writes to an output that blocks, still run. They must neither
     // find objects destroyed nor be waited for.
--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -60,6 +60,7 @@
     common_settings common;
     common.name = root.text("name");
     common.log_file = root.text("log_file", "");
+    common.start_limit = root.time_span("start_limit", common.start_limit);
     settings_reader fleet = root.section("fleet");
     common.fleet_listen = fleet.address("listen");
     common.fleet_advertised = fleet.text("advertised", "");
--- a/apps/daemon_settings.h
+++ b/apps/daemon_settings.h
@@ -25,6 +25,8 @@
     std::string fleet_advertised;
     std::string fleet_secret;
     std::string operator_token;
+    /// A start waits this long for addresses and threads that another process may still hold.
+    duration start_limit = seconds(30);
 };
 
 /// Settings of a control member that coordinates services for the platform.
--- a/base/event.cpp
+++ b/base/event.cpp
@@ -22,6 +22,14 @@
          "The reloaded settings were refused; the previous ones stay in force."},
         {event_id::event_loop_delayed, "event_loop_delayed", warning,
          "The main event loop turned late; processor_ms is the processor time used meanwhile."},
+        {event_id::address_awaited, "address_awaited", warning,
+         "The process cannot listen at an address yet and tries again until `start_limit`."},
+        {event_id::process_failed, "process_failed", error,
+         "The process ends because it cannot start or a resource of the operating system is "
+         "exhausted."},
+        {event_id::threads_awaited, "threads_awaited", warning,
+         "The operating system gives the process no threads yet; it tries again until "
+         "`start_limit`."},
         {event_id::formation_completed, "formation_completed", info,
          "All control members started without data and agreed on the initial membership."},
         {event_id::election_started, "election_started", info,
@@ -57,6 +65,8 @@
          "The data folder can be used again; the member takes part again."},
         {event_id::snapshot_postponed, "snapshot_postponed", warning,
          "A snapshot could not be saved; the member keeps its log and tries again later."},
+        {event_id::fleet_connection_failed, "fleet_connection_failed", error,
+         "A connection to a peer cannot be opened; what was to be sent is lost."},
         {event_id::fleet_connection_replaced, "fleet_connection_replaced", warning,
          "The peer did not confirm what was sent over a connection, which was replaced."},
         {event_id::change_accepted, "change_accepted", info,
--- a/base/event.h
+++ b/base/event.h
@@ -16,6 +16,9 @@
     settings_reloaded = 1004,
     settings_refused = 1005,
     event_loop_delayed = 1006,
+    address_awaited = 1007,
+    process_failed = 1008,
+    threads_awaited = 1009,
 
     formation_completed = 2001,
     election_started = 2002,
@@ -35,6 +38,7 @@
     storage_unavailable = 2016,
     storage_restored = 2017,
     snapshot_postponed = 2018,
+    fleet_connection_failed = 2019,
 
     change_accepted = 3001,
     change_refused = 3002,
--- a/callers/http_server.cpp
+++ b/callers/http_server.cpp
@@ -52,7 +52,7 @@
     /// Runs a function on the first worker, which accepts connections, and waits until it is done.
     void run_on_first_worker(const std::function<void()>& function);
     /// Listens on all addresses of the options; gives the bound main address.
-    outcome<endpoint> listen_all();
+    outcome<endpoint> listen_all(const start_retry& retry);
     outcome<endpoint> listen(const endpoint& address);
     /// Passes a new connection to the next worker in turn.
     void assign_to_worker(qintptr descriptor);
@@ -88,14 +88,17 @@
     }
 }
 
-outcome<endpoint> http_server::implementation::listen_all()
+outcome<endpoint> http_server::implementation::listen_all(const start_retry& retry)
 {
     for (const endpoint& it : options.also_listen) {
-        if (auto res = listen(it); !succeeded(res)) {
+        auto res =
+            repeat_start<endpoint>(retry, event_id::address_awaited, [&] { return listen(it); });
+        if (!succeeded(res)) {
             return res;
         }
     }
-    auto res = listen(options.listen);
+    auto res = repeat_start<endpoint>(retry, event_id::address_awaited,
+                                      [&] { return listen(options.listen); });
     if (succeeded(res)) {
         options.listen = value_of(res);
     }
@@ -133,14 +136,14 @@
 
 http_server::~http_server() { stop(); }
 
-outcome<endpoint> http_server::start()
+outcome<endpoint> http_server::start(const start_retry& retry)
 {
     for (int n = 0; n < impl_->options.threads; ++n) {
         impl_->start_worker();
     }
     // The first worker accepts connections and distributes them over all workers.
     outcome<endpoint> res = failure{};
-    impl_->run_on_first_worker([&] { res = impl_->listen_all(); });
+    impl_->run_on_first_worker([&] { res = impl_->listen_all(retry); });
     return res;
 }
 
--- a/callers/http_server.h
+++ b/callers/http_server.h
@@ -6,6 +6,7 @@
 
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "base/start_retry.h"
 #include "base/time.h"
 #include "callers/http_message.h"
 
@@ -56,7 +57,7 @@
 
     /// Starts the threads and listens on all addresses. Returns `listen` of the options with the
     /// port in use, which differs if the port given was 0.
-    outcome<endpoint> start();
+    outcome<endpoint> start(const start_retry& retry = {});
 
     /// Stops accepting connections and closes each open one after its next answer, which carries
     /// `Connection: close`.
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -77,13 +77,13 @@
 
 entry_service::~entry_service() { stop(); }
 
-outcome<entry_addresses> entry_service::start()
+outcome<entry_addresses> entry_service::start(const start_retry& retry)
 {
-    auto callers = callers_.start();
+    auto callers = callers_.start(retry);
     if (!succeeded(callers)) {
         return failure_of(callers);
     }
-    auto platform = platform_.start();
+    auto platform = platform_.start(retry);
     if (!succeeded(platform)) {
         return failure_of(platform);
     }
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/start_retry.h"
 #include "callers/http_server.h"
 #include "entry/announcement_relay.h"
 #include "entry/entry_view.h"
@@ -48,7 +49,7 @@
     entry_service& operator=(const entry_service&) = delete;
 
     /// Starts to serve and returns the addresses in use.
-    outcome<entry_addresses> start();
+    outcome<entry_addresses> start(const start_retry& retry = {});
 
     /// Handles a fleet message. Safe from any thread.
     void receive(fleet_message message);
--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -45,13 +45,13 @@
 
 statement_entry::~statement_entry() { stop(); }
 
-outcome<endpoint> statement_entry::start()
+outcome<endpoint> statement_entry::start(const start_retry& retry)
 {
-    auto listening = readiness_.start();
+    auto listening = readiness_.start(retry);
     if (!succeeded(listening)) {
         return listening;
     }
-    auto callers = server_.start();
+    auto callers = server_.start(retry);
     if (!succeeded(callers)) {
         return callers;
     }
--- a/entry/statement_entry.h
+++ b/entry/statement_entry.h
@@ -4,6 +4,7 @@
 #include <QTimer>
 #include <memory>
 
+#include "base/start_retry.h"
 #include "callers/http_server.h"
 #include "entry/entry_view.h"
 #include "entry/lease_client.h"
@@ -36,7 +37,7 @@
     statement_entry& operator=(const statement_entry&) = delete;
 
     /// Starts to serve and returns the address for callers.
-    outcome<endpoint> start();
+    outcome<endpoint> start(const start_retry& retry = {});
 
     /// Handles a fleet message. Safe from any thread.
     void receive(fleet_message message);
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -158,7 +158,7 @@
 
 fleet_node::~fleet_node() { stop(); }
 
-outcome<endpoint> fleet_node::start(receiver on_message)
+outcome<endpoint> fleet_node::start(receiver on_message, const start_retry& retry)
 {
     impl_->on_message = std::move(on_message);
     if (nng_pull0_open(&impl_->listener) != 0) {
@@ -169,9 +169,16 @@
     nng_socket_set_size(impl_->listener, NNG_OPT_RECVMAXSZ, max_message_bytes);
     nng_listener listener = NNG_LISTENER_INITIALIZER;
     const std::string url = url_of(to_string(impl_->options.listen));
-    if (const int ec = nng_listen(impl_->listener, url.c_str(), &listener, 0); ec != 0) {
-        return failure{"cannot listen for the fleet on " + to_string(impl_->options.listen) + ": " +
-                       nng_strerror(ec)};
+    auto listening = repeat_start<std::monostate>(
+        retry, event_id::address_awaited, [&]() -> outcome<std::monostate> {
+            if (const int ec = nng_listen(impl_->listener, url.c_str(), &listener, 0); ec != 0) {
+                return failure{"cannot listen for the fleet on " +
+                               to_string(impl_->options.listen) + ": " + nng_strerror(ec)};
+            }
+            return std::monostate{};
+        });
+    if (!succeeded(listening)) {
+        return failure_of(listening);
     }
     nng_sockaddr address;
     nng_listener_get_addr(listener, NNG_OPT_LOCADDR, &address);
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -6,6 +6,7 @@
 
 #include "base/endpoint.h"
 #include "base/outcome.h"
+#include "base/start_retry.h"
 #include "fleet/fleet_message.h"
 
 namespace balsamdrift {
@@ -33,7 +34,7 @@
 
     /// Listens and delivers messages to `on_message` until stop(). Returns the address listened on,
     /// with the port that was assigned if the one in the options is 0.
-    outcome<endpoint> start(receiver on_message);
+    outcome<endpoint> start(receiver on_message, const start_retry& retry = {});
 
     /// Stops listening and closes all connections. The receiver is not called afterwards.
     void stop();
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -325,3 +325,56 @@
     CHECK(it.wait_for("storage_restored"));
     CHECK(it.stop());
 }
+
+TEST_CASE("an address in use for two seconds delays the start", "[process_start]")
+{
+    for (const quint16 port : {7600, 7601, 7602, 7603}) {
+        member_process it;
+        QTcpServer other;
+        REQUIRE(other.listen(QHostAddress(QString::fromStdString(it.address())), port));
+        it.start();
+        CHECK(it.wait_for("address_awaited"));
+        CHECK(it.wait_for(it.address() + ":" + std::to_string(port)));
+        ::usleep(2'000'000);
+        CHECK(it.is_running());
+        other.close();
+        CHECK(it.wait_for("ready "));
+        CHECK(it.stop());
+    }
+}
+
+TEST_CASE("a process that waits for an address stops when asked", "[process_start]")
+{
+    member_process it;
+    QTcpServer other;
+    REQUIRE(other.listen(QHostAddress(QString::fromStdString(it.address())), 7602));
+    it.start();
+    CHECK(it.wait_for("address_awaited"));
+    CHECK(it.stop());
+}
+
+TEST_CASE("an address that stays in use ends the start with code 69", "[process_start]")
+{
+    member_process it;
+    it.write_settings("first_start: true\nstart_limit: 300ms");
+    QTcpServer other;
+    REQUIRE(other.listen(QHostAddress(QString::fromStdString(it.address())), 7600));
+    it.start();
+    CHECK(it.ends_with(69));
+    CHECK(it.output().find("cannot listen") != std::string::npos);
+}
+
+TEST_CASE("a killed process starts again at once at the same addresses", "[process_start]")
+{
+    member_process it;
+    for (int n = 0; n < 5; ++n) {
+        it.start();
+        REQUIRE(wait_until_accepts(it.address(), 7602));
+        it.process().kill();
+        REQUIRE(it.process().waitForFinished(stop_timeout_ms));
+    }
+    it.start();
+    CHECK(wait_until_accepts(it.address(), 7602));
+    CHECK(it.stop());
+    CHECK(it.output().find("address_awaited") == std::string::npos);
+}
