Run with 15 threads instead of 36, and report when there are too few

What operators saw: a process did not start, or ended by itself, where the machine limits threads or address space. With a limit of 8 or 20 threads of the user both roles ended by SIGSEGV; with 30 and 34 they neither became ready, nor said anything, nor stopped at SIGTERM; 40 sufficed. With 180 and 220 MB of address space: SIGSEGV; with 260 MB: the silent hang. A process had 36 threads on 8 cores; 14 processes have 504, 89 have 3,204, which reaches usual limits of a container or user.

Cause: nng 1.5 starts threads for each processor, up to 24, beside 7 others, has no setting for it, and crashes or hangs in its own cleanup if one cannot start. QThread::start() reports to standard error only. Each thread reserved 8 MB for its stack and up to 128 MB for an arena of the allocator.

Before the libraries start theirs, the process starts 16 threads as a check, again up to `start_limit` (event 1009), and ends with the new code 71 and event 1008. HTTP servers check that their threads run, exceptions of the standard library at the start end with code 71, and a connection to a peer that cannot be opened is logged (event 2019).

Both tests failed before.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -32,6 +32,10 @@
 constexpr seconds settings_limit(3);
 constexpr milliseconds settings_read_interval(100);
 
+/// Threads that a process starts before it is ready: 10 of nng, those of the servers, one each for
+/// the log and the fleet, and some to spare.
+constexpr std::size_t start_threads = 16;
+
 int to_int(exit_code code) { return static_cast<int>(code); }
 
 /// Prints the listening addresses to standard output, where the process that started this one reads
@@ -39,7 +43,7 @@
 void report_ready(const std::string& addresses) { print_line("ready " + addresses); }
 
 /// Ends the start, which failed unless a stop was requested meanwhile.
-int fail(const failure& cause)
+int fail(const failure& cause, exit_code code = exit_code::unavailable)
 {
     if (stop_requested()) {
         log_event(event_id::process_stopped);
@@ -47,7 +51,7 @@
     }
     log_event(event_id::process_failed, {{"reason", cause.message}});
     std::fprintf(stderr, "balsamdrift: %s\n", cause.message.c_str());
-    return to_int(exit_code::unavailable);
+    return to_int(code);
 }
 
 /// Reads and checks the settings again and logs the result. The values in use stay as they were
@@ -307,11 +311,14 @@
     return path == nullptr ? std::string() : path;
 }
 
-/// Runs the process with its log open.
-int run_logged(const daemon_settings& settings)
+int run(const daemon_settings& settings)
 {
-    const common_settings& common = common_of(settings);
-    open_event_log({.process = common.name, .file = common.log_file});
+    const auto threads =
+        repeat_start<std::monostate>(retry_of(common_of(settings)), event_id::threads_awaited,
+                                     [] { return check_threads(start_threads); });
+    if (!succeeded(threads)) {
+        return fail(failure_of(threads), exit_code::resources);
+    }
     return std::visit(
         overloaded{
             [](const control_settings& it) { return run_control(it); },
@@ -321,18 +328,34 @@
         settings);
 }
 
+/// Runs the process with its log open. The libraries throw where the operating system gives no
+/// memory or thread.
+int run_logged(const daemon_settings& settings)
+{
+    try {
+        const common_settings& common = common_of(settings);
+        open_event_log({.process = common.name, .file = common.log_file});
+        return run(settings);
+    }
+    catch (const std::exception& ex) {
+        return fail({ex.what()}, exit_code::resources);
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv)
 {
     watch_signals();
     open_standard_descriptors();
+    limit_thread_memory();
     gflags::SetUsageMessage(
         "balsamdrift [--settings FILE] [--check]\n\n"
         "Runs a control member or an entry, as the settings say. Without --settings, the\n"
         "variable BALSAMDRIFT_BOOT names the file.\n"
         "Exit codes: 0 stopped as asked, 64 wrong command line, 69 an address or\n"
-        "the data folder cannot be used, 78 wrong settings.");
+        "the data folder cannot be used, 71 too few threads or too little memory,\n"
+        "78 wrong settings.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     FLAGS_settings = settings_file();
--- a/apps/exit_code.h
+++ b/apps/exit_code.h
@@ -13,6 +13,8 @@
     settings = 78,
     /// An address or data folder cannot be used, or no control member answered.
     unavailable = 69,
+    /// balsamdrift: the operating system gives too few threads or too little memory.
+    resources = 71,
 };
 
 }  // namespace balsamdrift
--- a/callers/http_server.cpp
+++ b/callers/http_server.cpp
@@ -48,7 +48,8 @@
     std::vector<std::unique_ptr<worker_thread>> workers;
     std::size_t next_worker = 0;
 
-    void start_worker();
+    /// Fails if the system gives no thread.
+    outcome<std::monostate> start_worker();
     /// Runs a function on the first worker, which accepts connections, and waits until it is done.
     void run_on_first_worker(const std::function<void()>& function);
     /// Listens on all addresses of the options; gives the bound main address.
@@ -58,7 +59,7 @@
     void assign_to_worker(qintptr descriptor);
 };
 
-void http_server::implementation::start_worker()
+outcome<std::monostate> http_server::implementation::start_worker()
 {
     auto it = std::make_unique<worker_thread>();
     it->context = new QObject;
@@ -66,6 +67,10 @@
     QObject* const context = it->context;
     QObject::connect(&it->thread, &QThread::finished, context, &QObject::deleteLater);
     it->thread.start();
+    if (!it->thread.isRunning()) {
+        delete it->context;
+        return failure{"the system gives no thread for " + to_string(options.listen)};
+    }
     QMetaObject::invokeMethod(context, [context] {
         auto* timer = new QTimer(context);
         QObject::connect(timer, &QTimer::timeout, context, [context] {
@@ -79,6 +84,7 @@
         timer->start(timeout_check_interval);
     });
     workers.push_back(std::move(it));
+    return std::monostate{};
 }
 
 void http_server::implementation::run_on_first_worker(const std::function<void()>& function)
@@ -139,7 +145,9 @@
 outcome<endpoint> http_server::start(const start_retry& retry)
 {
     for (int n = 0; n < impl_->options.threads; ++n) {
-        impl_->start_worker();
+        if (auto res = impl_->start_worker(); !succeeded(res)) {
+            return failure_of(res);
+        }
     }
     // The first worker accepts connections and distributes them over all workers.
     outcome<endpoint> res = failure{};
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -57,6 +57,11 @@
 
 std::string url_of(const std::string& address) { return "tcp://" + address; }
 
+void report_failed_connection(const std::string& peer, int ec)
+{
+    log_event(event_id::fleet_connection_failed, {{"peer", peer}, {"reason", nng_strerror(ec)}});
+}
+
 }  // namespace
 
 struct fleet_node::implementation {
@@ -114,14 +119,17 @@
 
 bool fleet_node::implementation::open_peer(const std::string& address, peer_socket& peer) const
 {
-    if (nng_push0_open(&peer.socket) != 0) {
+    if (const int ec = nng_push0_open(&peer.socket); ec != 0) {
+        report_failed_connection(address, ec);
         return false;
     }
     nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, send_queue_messages);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
     nng_pipe_notify(peer.socket, NNG_PIPE_EV_ADD_POST, on_established, peer.established.get());
-    if (nng_dial(peer.socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
+    const int ec = nng_dial(peer.socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
+    if (ec != 0) {
+        report_failed_connection(address, ec);
         nng_close(peer.socket);
         return false;
     }
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -378,3 +378,34 @@
     CHECK(it.stop());
     CHECK(it.output().find("address_awaited") == std::string::npos);
 }
+
+TEST_CASE("a process needs few threads and little address space", "[process_start]")
+{
+    member_process it;
+    it.on_child([] {
+        const rlimit limit{260UL << 20U, 260UL << 20U};
+        ::setrlimit(RLIMIT_AS, &limit);
+    });
+    it.start();
+    REQUIRE(it.wait_for("ready "));
+    const std::filesystem::path tasks =
+        "/proc/" + std::to_string(it.process().processId()) + "/task";
+    const auto threads = std::distance(std::filesystem::directory_iterator(tasks),
+                                       std::filesystem::directory_iterator());
+    CHECK(threads <= 16);
+    CHECK(it.stop());
+}
+
+TEST_CASE("a process that gets no threads says so and ends with code 71", "[process_start]")
+{
+    member_process it;
+    it.write_settings("first_start: true\nstart_limit: 300ms");
+    it.on_child([] {
+        // Room for the program and its libraries, but not for the stacks of its threads.
+        const rlimit limit{88UL << 20U, 88UL << 20U};
+        ::setrlimit(RLIMIT_AS, &limit);
+    });
+    it.start();
+    CHECK(it.ends_with(71));
+    CHECK(it.output().find("threads") != std::string::npos);
+}
