--- a/rig/soak/caller_session.cpp
+++ b/rig/soak/caller_session.cpp
@@ -50,7 +50,9 @@
     const time_point until = origin_.sent_at + start_limit;
     conn_ = co_await connection::open(loop_, entry.service_address, start_limit, &entry.path);
     if (conn_ == nullptr) {
-        co_return caller_answer{};
+        const caller_answer none;
+        note_failure("connect ", none);
+        co_return none;
     }
     conn_->send("STARTUP " + origin_.database + " " + origin_.key + "\r\n");
     caller_answer out = co_await read_answer(until);
@@ -58,11 +60,19 @@
         verdicts_.caller_refused(origin_, out.code);
     }
     if (!out.complete || !out.success) {
+        note_failure("STARTUP ", out);
         hang_up();
     }
     co_return out;
 }
 
+void caller_session::note_failure(const char* what, const caller_answer& answer)
+{
+    if (!origin_.explores) {
+        verdicts_.served().failure(what + (answer.code.empty() ? "no answer" : answer.code));
+    }
+}
+
 task<caller_answer> caller_session::read_answer(time_point until)
 {
     caller_answer out;
@@ -152,6 +162,7 @@
 
 attempt_result caller_session::judge_failure(const caller_answer& answer)
 {
+    note_failure("", answer);
     const bool promised = answer.complete && is_promise(answer.code);
     if (promised) {
         for (const std::string& id : writes_) {
--- a/rig/soak/caller_session.h
+++ b/rig/soak/caller_session.h
@@ -56,6 +56,7 @@
     task<caller_answer> ask(std::string text, bool writes, std::string shape, time_point until);
     task<caller_answer> read_answer(time_point until);
     task<caller_answer> run_statement(bool writes, time_point until);
+    void note_failure(const char* what, const caller_answer& answer);
     attempt_result judge_failure(const caller_answer& answer);
 
     event_loop& loop_;
--- a/rig/soak/connection.cpp
+++ b/rig/soak/connection.cpp
@@ -33,7 +33,8 @@
 {
     const int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    token_ = loop_.watch(fd_, EPOLLIN | EPOLLOUT, *this);
+    events_ = EPOLLIN | EPOLLOUT;
+    token_ = loop_.watch(fd_, events_, *this);
 }
 
 connection::~connection()
@@ -168,13 +169,15 @@
         }
         return;
     }
-    const std::uint32_t out = output_.empty() || later_ ? 0U : std::uint32_t{EPOLLOUT};
+    const bool pending = !output_.empty() && !later_;
+    const std::uint32_t wanted = EPOLLIN | (pending ? std::uint32_t{EPOLLOUT} : 0U);
     if (token_ == 0) {
-        token_ = loop_.watch(fd_, EPOLLIN | out, *this);
+        token_ = loop_.watch(fd_, wanted, *this);
     }
-    else {
-        loop_.change(fd_, token_, EPOLLIN | out);
+    else if (wanted != events_) {
+        loop_.change(fd_, token_, wanted);
     }
+    events_ = wanted;
 }
 
 void connection::read_available()
@@ -189,7 +192,7 @@
         });
         return;
     }
-    std::array<char, 16384> buf{};
+    std::array<char, 8192> buf;  // NOLINT(cppcoreguidelines-pro-type-member-init)
     const ssize_t n = ::recv(fd_, buf.data(), buf.size(), MSG_DONTWAIT);
     if (n > 0) {
         input_.append(buf.data(), static_cast<std::size_t>(n));
--- a/rig/soak/connection.h
+++ b/rig/soak/connection.h
@@ -51,6 +51,7 @@
     const link* over_;
     time_point opened_;
     std::uint64_t token_ = 0;
+    std::uint32_t events_ = 0;
     bool connected_ = false;
     bool closed_ = false;
     bool paused_ = false;
--- a/rig/soak/deployment.cpp
+++ b/rig/soak/deployment.cpp
@@ -26,7 +26,7 @@
 constexpr int proxy_subnet = 50;
 /// Processes that the seeds of a machine name.
 constexpr std::size_t seed_count = 3;
-constexpr milliseconds supervision_interval(20);
+constexpr milliseconds supervision_interval(50);
 /// The platform starts a process again so long after its end.
 constexpr int min_restart_ms = 200;
 constexpr int max_restart_ms = 1000;
@@ -92,9 +92,9 @@
     std::filesystem::create_directories(it->folder + (is_control ? "/data" : ""));
     if (options_.proxies) {
         const int subnet = proxy_subnet + static_cast<int>(zone_number);
-        it->proxy = std::make_unique<fleet_proxy>(
-            loop_, address{host(subnet, number + 10), first_internal_port},
-            address{it->ip, first_internal_port});
+        it->proxy =
+            std::make_unique<fleet_proxy>(loop_, address{it->ip, first_internal_port},
+                                          address{host(subnet, number + 10), first_internal_port});
     }
     machines_.push_back(std::move(it));
     return *machines_.back();
@@ -157,9 +157,16 @@
     const deploy_role& role = roles_.at(it.is_control ? "core" : "edge");
     const auto fields = settings_fields(site_, it, role.name, platform_address().text());
     std::string text = render_template(role.template_text, fields);
-    const auto fleet = text.find("fleet:\n");
-    if (it.proxy != nullptr && fleet != std::string::npos) {
-        text.insert(text.find('\n', fleet) + 1, "  advertised: " + it.proxy->at().text() + "\n");
+    if (it.proxy != nullptr) {
+        // The others reach the proxy at the address that they know, and it the process.
+        const std::string known = "listen: " + it.proxy->at().text();
+        const auto at = text.find(known);
+        if (at == std::string::npos) {
+            throw std::runtime_error("the template has no fleet address for a proxy");
+        }
+        text.replace(at, known.size(),
+                     "listen: " + it.proxy->target().text() +
+                         "\n  advertised: " + it.proxy->at().text());
     }
     std::ofstream(it.folder + "/settings.new") << text;
     std::filesystem::rename(it.folder + "/settings.new", it.folder + "/settings.toml");
--- a/rig/soak/fleet_proxy.h
+++ b/rig/soak/fleet_proxy.h
@@ -13,6 +13,7 @@
 public:
     fleet_proxy(event_loop& loop, address at, address target);
     const address& at() const { return at_; }
+    const address& target() const { return target_; }
     /// How connections are disturbed now, in both directions.
     link path;
 
--- a/rig/soak/service_record.cpp
+++ b/rig/soak/service_record.cpp
@@ -46,6 +46,16 @@
     }
 }
 
+std::string service_record::take_failures()
+{
+    std::string out;
+    for (const auto& [code, count] : failures_) {
+        out += (out.empty() ? "" : ", ") + code + " " + std::to_string(count);
+    }
+    failures_.clear();
+    return out;
+}
+
 void service_record::disturbed(time_point at)
 {
     const long from = second_of(at);
--- a/rig/soak/service_record.h
+++ b/rig/soak/service_record.h
@@ -20,6 +20,10 @@
     void final_fault(time_point back_at) { back_at_ = back_at; }
     /// An operation of a caller came to its end.
     void operation(time_point started, bool served, duration took, const std::string& kind);
+    /// A caller's message got this error, or none.
+    void failure(const std::string& code) { ++failures_[code]; }
+    /// The failures since the last call.
+    std::string take_failures();
     /// A disturbance acted in this second.
     void disturbed(time_point at);
     void probed(time_point at, const std::string& entry, bool ready);
@@ -47,6 +51,7 @@
     /// Probes of each entry outside of disturbances, and those that found it ready.
     std::map<std::string, std::map<long, bool>> probes_;
     std::vector<double> latencies_ms_;
+    std::map<std::string, int> failures_;
 };
 
 }  // namespace balsamdrift::soak
--- a/rig/soak/soak_run.cpp
+++ b/rig/soak/soak_run.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds disturbance_interval(200);
+/// The rig notes its own delays above this one.
+constexpr milliseconds tolerated_lateness(100);
 constexpr seconds statements_kept(30);
 constexpr seconds usage_interval(5);
 /// Load after the recovery from the final fault.
@@ -38,6 +40,8 @@
     platform_stand_in platform;
     change_operator changes;
     load callers;
+    /// How late the rig itself was at most; findings of such a run may be its own.
+    duration latest{};
 
     explicit stage(const soak_options& options)
         : site(read_site(options.site)),
@@ -91,11 +95,17 @@
 background watch_disturbances(stage& on)
 {
     while (true) {
+        const time_point due = monotonic_clock::now() + disturbance_interval;
         if (monotonic_clock::now() - on.machines.last_disturbance() < disturbance_interval * 2) {
             on.verdicts.served().disturbed(monotonic_clock::now());
         }
-        on.verdicts.forget(monotonic_clock::now() - statements_kept);
         co_await on.loop.sleep(disturbance_interval);
+        const duration late = monotonic_clock::now() - due;
+        if (late > tolerated_lateness) {
+            on.record.note("the rig itself is late by " +
+                           std::to_string(to_milliseconds(late).count()) + " ms");
+        }
+        on.latest = std::max(on.latest, late);
     }
 }
 
@@ -105,7 +115,12 @@
     while (true) {
         std::string load;
         std::getline(std::ifstream("/proc/loadavg"), load);
-        on.record.note("load of the machine: " + load + "; " + on.machines.usage());
+        rusage own{};
+        ::getrusage(RUSAGE_SELF, &own);
+        on.record.note("load of the machine: " + load + "; rig " +
+                       std::to_string(own.ru_utime.tv_sec + own.ru_stime.tv_sec) + " s; " +
+                       on.machines.usage() + "; failures: " + on.verdicts.served().take_failures());
+        on.verdicts.forget(monotonic_clock::now() - statements_kept);
         co_await on.loop.sleep(usage_interval);
     }
 }
@@ -160,6 +175,8 @@
     co_await on.loop.sleep(contact + seconds(2));
     const auto findings = on.verdicts.served().evaluate(load_end);
     on.verdicts.remark(findings.summary);
+    on.verdicts.remark("the rig itself was late by " +
+                       std::to_string(to_milliseconds(on.latest).count()) + " ms at most");
     for (const std::string& it : findings.too_little) {
         on.verdicts.break_rule(rule::too_little_served, it);
     }
