--- a/rig/soak/deployment.h
+++ b/rig/soak/deployment.h
@@ -75,6 +75,8 @@
     std::string host(int subnet, int last) const;
     address platform_address() const { return {host(200, 2), 8466}; }
     bool is_running(const machine& it) const { return it.pid > 0 && !it.frozen; }
+    /// Something other than a machine was disturbed.
+    void note_disturbance() { last_disturbance_ = monotonic_clock::now(); }
     time_point last_disturbance() const { return last_disturbance_; }
     /// What the processes have used so far.
     std::string usage() const;
--- a/rig/soak/fault_series.h
+++ b/rig/soak/fault_series.h
@@ -67,6 +67,7 @@
     background lose_acks();
     background disturb_fleet_path();
     background limit_files();
+    background keep_port_busy();
 
     machine& some(const std::vector<machine*>& of) { return *of[random_() % of.size()]; }
     service& some_service() { return *on_.services[random_() % on_.services.size()]; }
@@ -75,7 +76,7 @@
         return milliseconds(least +
                             static_cast<int>(random_() % static_cast<unsigned>(most - least)));
     }
-    void disturbed() { on_.verdicts.served().disturbed(monotonic_clock::now()); }
+    void disturbed() { on_.machines.note_disturbance(); }
 
     fault_targets on_;
     std::vector<std::string> names_;
