--- a/rig/soak/fault_series.cpp
+++ b/rig/soak/fault_series.cpp
@@ -23,36 +23,77 @@
 {
 }
 
-const std::vector<fault_series::entry_of_table>& fault_series::table()
-{
-    static const std::vector<entry_of_table> all{
-        {"kill_control", &fault_series::kill_control},
-        {"kill_entry", &fault_series::kill_entry},
-        {"kill_entries", &fault_series::kill_entries},
-        {"kill_core", &fault_series::kill_core},
-        {"kill_all", &fault_series::kill_all},
-        {"freeze_control", &fault_series::freeze_control},
-        {"freeze_entry", &fault_series::freeze_entry},
-        {"stop_control", &fault_series::stop_control},
-        {"stop_entries", &fault_series::stop_entries},
-        {"reload", &fault_series::reload},
-        {"seeds", &fault_series::turn_seeds_over},
-        {"wipe", &fault_series::wipe},
-        {"replace", &fault_series::replace},
-        {"silence_entry", &fault_series::silence_entry},
-        {"silence_control", &fault_series::silence_control},
-        {"silence_platform", &fault_series::silence_platform},
-        {"slow_path", &fault_series::slow_path},
-        {"dead_connections", &fault_series::dead_connections},
-        {"crash_primary", &fault_series::crash_primary},
-        {"crash_instance", &fault_series::crash_instance},
-        {"slow_instance", &fault_series::slow_instance},
-        {"release_instance", &fault_series::release_instance},
-        {"silence_instance", &fault_series::silence_instance},
-        {"lose_acks", &fault_series::lose_acks},
-        {"fleet_path", &fault_series::disturb_fleet_path},
-        {"limit_files", &fault_series::limit_files},
-        {"busy_port", &fault_series::keep_port_busy}};
+const std::vector<fault_series::known_fault>& fault_series::table()
+{
+    using series = fault_series;
+    static const std::vector<known_fault> all{
+        {"kill_control", [](series& s) { s.kill({&s.some_control()}, most_down_ms); }},
+        {"kill_entry", [](series& s) { s.kill({&s.some_entry()}, most_down_ms); }},
+        {"kill_entries",
+         [](series& s) {
+             std::vector<machine*> half = s.on_.machines.entries();
+             std::shuffle(half.begin(), half.end(), s.random_);
+             half.resize((half.size() + 1) / 2);
+             s.kill(half, 2000);
+         }},
+        {"kill_core", [](series& s) { s.kill(s.on_.machines.controls(), 1000); }},
+        {"kill_all",
+         [](series& s) {
+             s.kill(s.on_.machines.controls(), 1000);
+             s.kill(s.on_.machines.entries(), 1500);
+         }},
+        {"freeze_control", [](series& s) { s.freeze(s.some_control()); }},
+        {"freeze_entry", [](series& s) { s.freeze(s.some_entry()); }},
+        {"stop_control",
+         [](series& s) { s.on_.machines.terminate(s.some_control(), s.between(1000, 4000)); }},
+        {"stop_entries", [](series& s) { s.stop_entries(); }},
+        {"reload", [](series& s) { s.reload(); }},
+        {"seeds", [](series& s) { s.turn_seeds_over(); }},
+        {"wipe",
+         [](series& s) {
+             if (s.may_lose_disk()) {
+                 machine& it = s.some_control();
+                 s.on_.machines.kill(it, s.between(500, 3000));
+                 s.on_.machines.wipe(it);
+             }
+         }},
+        {"replace",
+         [](series& s) {
+             if (s.may_lose_disk()) {
+                 s.on_.machines.replace(s.some_control());
+             }
+         }},
+        {"silence_entry", [](series& s) { s.silence(s.some_entry()); }},
+        {"silence_control", [](series& s) { s.silence(s.some_control()); }},
+        {"silence_platform", [](series& s) { s.silence_platform(); }},
+        {"slow_path", [](series& s) { s.slow_path(s.some_machine()); }},
+        {"dead_connections", [](series& s) { s.kill_connections(); }},
+        {"crash_primary",
+         [](series& s) {
+             service& of = s.some_service();
+             s.crash(of, of.primary());
+         }},
+        {"crash_instance",
+         [](series& s) {
+             service& of = s.some_service();
+             s.crash(of, &s.some_instance(of));
+         }},
+        {"slow_instance", [](series& s) { s.slow_instance(s.some_instance(s.some_service())); }},
+        {"release_instance",
+         [](series& s) {
+             service& of = s.some_service();
+             instance& it = s.some_instance(of);
+             s.disturbed();
+             if (!it.down && !it.draining) {
+                 of.release(it);
+             }
+         }},
+        {"silence_instance",
+         [](series& s) { s.silence_instance(s.some_instance(s.some_service())); }},
+        {"lose_acks", [](series& s) { s.lose_acks(); }},
+        {"fleet_path", [](series& s) { s.disturb_fleet_path(s.some_machine()); }},
+        {"limit_files", [](series& s) { s.limit_files(s.some_control()); }},
+        {"busy_port", [](series& s) { s.keep_port_busy(s.some_machine()); }}};
     return all;
 }
 
@@ -60,7 +101,7 @@
 {
     static const std::vector<std::string> names = [] {
         std::vector<std::string> out;
-        for (const entry_of_table& it : table()) {
+        for (const known_fault& it : table()) {
             out.emplace_back(it.name);
         }
         return out;
@@ -75,9 +116,9 @@
         for (std::uint64_t n = 0; n < count; ++n) {
             const std::string& name = names_[random_() % names_.size()];
             on_.record.note("fault: " + name);
-            for (const entry_of_table& it : table()) {
+            for (const known_fault& it : table()) {
                 if (it.name == name) {
-                    (this->*it.act)();
+                    it.strike(*this);
                 }
             }
             const milliseconds pause = between(0, 2500);
@@ -116,69 +157,21 @@
     disturbed();
 }
 
-background fault_series::kill_control()
-{
-    on_.machines.kill(some(on_.machines.controls()), between(least_down_ms, most_down_ms));
-    co_return;
-}
-
-background fault_series::kill_entry()
-{
-    on_.machines.kill(some(on_.machines.entries()), between(least_down_ms, most_down_ms));
-    co_return;
-}
-
-background fault_series::kill_entries()
-{
-    for (machine* it : on_.machines.entries()) {
-        if (random_() % 2 == 0) {
-            on_.machines.kill(*it, between(least_down_ms, 2000));
-        }
-    }
-    co_return;
-}
-
-background fault_series::kill_core()
-{
-    for (machine* it : on_.machines.controls()) {
-        on_.machines.kill(*it, between(least_down_ms, 1000));
-    }
-    co_return;
-}
-
-background fault_series::kill_all()
+void fault_series::kill(const std::vector<machine*>& all, int longest_ms)
 {
-    kill_core();
-    for (machine* it : on_.machines.entries()) {
-        on_.machines.kill(*it, between(least_down_ms, 1500));
+    for (machine* it : all) {
+        on_.machines.kill(*it, between(least_down_ms, longest_ms));
     }
-    co_return;
 }
 
-background fault_series::freeze_control()
+background fault_series::freeze(machine& it)
 {
-    machine& it = some(on_.machines.controls());
     on_.machines.freeze(it);
     const milliseconds length = between(500, 7000);
     co_await on_.loop.sleep(length);
     on_.machines.thaw(it);
 }
 
-background fault_series::freeze_entry()
-{
-    machine& it = some(on_.machines.entries());
-    on_.machines.freeze(it);
-    const milliseconds length = between(500, 6000);
-    co_await on_.loop.sleep(length);
-    on_.machines.thaw(it);
-}
-
-background fault_series::stop_control()
-{
-    on_.machines.terminate(some(on_.machines.controls()), between(1000, 4000));
-    co_return;
-}
-
 background fault_series::stop_entries()
 {
     for (machine* it : on_.machines.entries()) {
@@ -190,18 +183,16 @@
     }
 }
 
-background fault_series::reload()
+void fault_series::reload()
 {
-    for (machine* it : on_.machines.controls()) {
-        on_.machines.reload(*it);
-    }
-    for (machine* it : on_.machines.entries()) {
-        on_.machines.reload(*it);
+    for (const auto& all : {on_.machines.controls(), on_.machines.entries()}) {
+        for (machine* it : all) {
+            on_.machines.reload(*it);
+        }
     }
-    co_return;
 }
 
-background fault_series::turn_seeds_over()
+void fault_series::turn_seeds_over()
 {
     on_.machines.turn_seeds_over();
     const bool told = random_() % 2 == 0;
@@ -210,33 +201,21 @@
     if (told) {
         reload();
     }
-    co_return;
-}
-
-background fault_series::wipe()
-{
-    if (monotonic_clock::now() < disks_safe_at_) {
-        co_return;
-    }
-    disks_safe_at_ = monotonic_clock::now() + on_.site.bound_s("catchUpS") + disk_margin;
-    machine& it = some(on_.machines.controls());
-    on_.machines.kill(it, between(500, 3000));
-    on_.machines.wipe(it);
 }
 
-background fault_series::replace()
+bool fault_series::may_lose_disk()
 {
-    if (monotonic_clock::now() < disks_safe_at_) {
-        co_return;
+    const time_point now = monotonic_clock::now();
+    if (now < disks_safe_at_) {
+        return false;
     }
-    disks_safe_at_ = monotonic_clock::now() + on_.site.bound_s("catchUpS") + disk_margin;
-    on_.machines.replace(some(on_.machines.controls()));
+    disks_safe_at_ = now + on_.site.bound_s("catchUpS") + disk_margin;
+    return true;
 }
 
-background fault_series::silence_entry()
+background fault_series::silence(machine& it)
 {
-    machine& it = some(on_.machines.entries());
-    on_.record.note("the path between callers and " + it.name + " is silent");
+    on_.record.note("the paths between " + it.name + " and its callers are silent");
     it.path.silent_in = random_() % 3 != 0;
     it.path.silent_out = !it.path.silent_in || random_() % 2 == 0;
     const milliseconds length = between(1000, 7000);
@@ -245,17 +224,6 @@
     on_.machines.disturb(it);
 }
 
-background fault_series::silence_control()
-{
-    machine& it = some(on_.machines.controls());
-    on_.record.note("the path between instances, operator and " + it.name + " is silent");
-    it.path.silent_in = it.path.silent_out = true;
-    const milliseconds length = between(1000, 7000);
-    co_await on_.loop.sleep(length);
-    it.path.silent_in = it.path.silent_out = false;
-    on_.machines.disturb(it);
-}
-
 background fault_series::silence_platform()
 {
     on_.record.note("the platform is silent");
@@ -265,9 +233,8 @@
     on_.platform.path.silent_in = on_.platform.path.silent_out = false;
 }
 
-background fault_series::slow_path()
+background fault_series::slow_path(machine& it)
 {
-    machine& it = some(random_() % 2 == 0 ? on_.machines.entries() : on_.machines.controls());
     on_.record.note("the path to " + it.name + " is slow");
     it.path.delay = between(20, 300);
     const milliseconds length = between(2000, 7000);
@@ -276,7 +243,7 @@
     on_.machines.disturb(it);
 }
 
-background fault_series::dead_connections()
+void fault_series::kill_connections()
 {
     on_.record.note("open connections of instances and of a third of the entries go silent");
     const time_point now = monotonic_clock::now();
@@ -294,35 +261,18 @@
         }
     }
     disturbed();
-    co_return;
 }
 
-background fault_series::crash_primary()
+void fault_series::crash(service& of, instance* it)
 {
-    service& of = some_service();
-    instance* it = of.primary();
     disturbed();
-    if (it != nullptr) {
+    if (it != nullptr && !it->down) {
         of.crash(*it, between(500, 8000));
     }
-    co_return;
 }
 
-background fault_series::crash_instance()
+background fault_series::slow_instance(instance& it)
 {
-    service& of = some_service();
-    instance& it = *of.instances()[random_() % of.instances().size()];
-    disturbed();
-    if (!it.down) {
-        of.crash(it, between(500, 8000));
-    }
-    co_return;
-}
-
-background fault_series::slow_instance()
-{
-    service& of = some_service();
-    instance& it = *of.instances()[random_() % of.instances().size()];
     on_.record.note(it.id + " is slow");
     it.slow_factor = 6;
     disturbed();
@@ -332,21 +282,8 @@
     disturbed();
 }
 
-background fault_series::release_instance()
-{
-    service& of = some_service();
-    instance& it = *of.instances()[random_() % of.instances().size()];
-    disturbed();
-    if (!it.down && !it.draining) {
-        of.release(it);
-    }
-    co_return;
-}
-
-background fault_series::silence_instance()
+background fault_series::silence_instance(instance& it)
 {
-    service& of = some_service();
-    instance& it = *of.instances()[random_() % of.instances().size()];
     on_.record.note("the paths to and from " + it.id + " are silent");
     it.path.silent_in = it.path.silent_out = true;
     disturbed();
@@ -365,9 +302,8 @@
     on_.changes.lost_acks = 0;
 }
 
-background fault_series::disturb_fleet_path()
+background fault_series::disturb_fleet_path(machine& it)
 {
-    machine& it = some(random_() % 2 == 0 ? on_.machines.entries() : on_.machines.controls());
     if (it.proxy == nullptr) {
         co_return;
     }
@@ -389,9 +325,8 @@
     on_.machines.disturb(it);
 }
 
-background fault_series::limit_files()
+background fault_series::limit_files(machine& it)
 {
-    machine& it = some(on_.machines.controls());
     it.file_limit_bytes = limited_file_bytes;
     on_.machines.kill(it, between(least_down_ms, 1000));
     const milliseconds length = between(3000, 7000);
@@ -400,9 +335,8 @@
     on_.machines.kill(it, between(least_down_ms, 1000));
 }
 
-background fault_series::keep_port_busy()
+background fault_series::keep_port_busy(machine& it)
 {
-    machine& it = some(random_() % 2 == 0 ? on_.machines.entries() : on_.machines.controls());
     on_.machines.kill(it, between(300, 1000));
     const milliseconds end(250);
     co_await on_.loop.sleep(end);
--- a/rig/soak/fault_series.h
+++ b/rig/soak/fault_series.h
@@ -34,41 +34,38 @@
     background strike_finally();
 
 private:
-    using action = background (fault_series::*)();
-    struct entry_of_table {
+    struct known_fault {
         const char* name;
-        action act;
+        void (*strike)(fault_series& series);
     };
-    static const std::vector<entry_of_table>& table();
+    static const std::vector<known_fault>& table();
 
-    background kill_control();
-    background kill_entry();
-    background kill_entries();
-    background kill_core();
-    background kill_all();
-    background freeze_control();
-    background freeze_entry();
-    background stop_control();
+    void kill(const std::vector<machine*>& all, int most_down_ms);
+    void reload();
+    void turn_seeds_over();
+    /// True if no other disk is being restored.
+    bool may_lose_disk();
+    background freeze(machine& it);
     background stop_entries();
-    background reload();
-    background turn_seeds_over();
-    background wipe();
-    background replace();
-    background silence_entry();
-    background silence_control();
+    background silence(machine& it);
     background silence_platform();
-    background slow_path();
-    background dead_connections();
-    background crash_primary();
-    background crash_instance();
-    background slow_instance();
-    background release_instance();
-    background silence_instance();
+    background slow_path(machine& it);
+    background slow_instance(instance& it);
+    background silence_instance(instance& it);
     background lose_acks();
-    background disturb_fleet_path();
-    background limit_files();
-    background keep_port_busy();
+    background disturb_fleet_path(machine& it);
+    background limit_files(machine& it);
+    background keep_port_busy(machine& it);
+    void kill_connections();
+    void crash(service& of, instance* it);
 
+    machine& some_control() { return some(on_.machines.controls()); }
+    machine& some_entry() { return some(on_.machines.entries()); }
+    machine& some_machine() { return random_() % 2 == 0 ? some_control() : some_entry(); }
+    instance& some_instance(service& of)
+    {
+        return *of.instances()[random_() % of.instances().size()];
+    }
     machine& some(const std::vector<machine*>& of) { return *of[random_() % of.size()]; }
     service& some_service() { return *on_.services[random_() % on_.services.size()]; }
     milliseconds between(int least, int most)
--- a/rig/soak/instance_session.cpp
+++ b/rig/soak/instance_session.cpp
@@ -46,7 +46,7 @@
 
 std::string service::receipt(const std::string& id)
 {
-    const std::string out = "c." + name_ + "." + std::to_string(++receipts_);
+    std::string out = "c." + name_ + "." + std::to_string(++receipts_);
     verdicts_.gave_receipt(id, out);
     return out;
 }
--- a/rig/soak/main.cpp
+++ b/rig/soak/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint64(seed, 1, "seed of the load, the changes and the faults");
 DEFINE_int32(cores, 0, "processors that the processes of the system share; 0: all");
 DEFINE_int32(start_spread_ms, 300, "the processes start within this time, milliseconds");
+DEFINE_int32(early_kills, 0, "control members that are killed once during the start");
 DEFINE_int32(absent, 0, "control members that are missing from the start");
 
 namespace {
@@ -47,7 +48,8 @@
                                .seed = FLAGS_seed,
                                .cores = FLAGS_cores,
                                .start_spread = milliseconds(FLAGS_start_spread_ms),
-                               .absent = FLAGS_absent};
+                               .absent = FLAGS_absent,
+                               .early_kills = FLAGS_early_kills};
     options.root = std::filesystem::absolute(FLAGS_root).lexically_normal().string();
     options.site = FLAGS_site.find('/') == std::string::npos
                        ? options.root + "/rig/soak/sites/" + FLAGS_site + ".yaml"
--- a/rig/soak/soak_run.cpp
+++ b/rig/soak/soak_run.cpp
@@ -29,7 +29,7 @@
 constexpr int instance_subnet = 100;
 constexpr int instance_port = 8080;
 /// The operator begins this time after the processes have started.
-constexpr seconds first_change_delay(1);
+constexpr milliseconds first_change_delay(600);
 
 /// The parts of a run, which refer to each other.
 struct stage {
@@ -143,6 +143,12 @@
     watch_disturbances(on);
     watch_usage(on);
     co_await on.loop.sleep(first_change_delay);
+    std::vector<machine*> members = on.machines.controls();
+    std::mt19937_64 random(options.seed + 5);
+    std::shuffle(members.begin(), members.end(), random);
+    for (std::size_t n = 0; n < std::min<std::size_t>(options.early_kills, members.size()); ++n) {
+        on.machines.kill(*members[n], milliseconds(200 + random() % 800));
+    }
     on.changes.begin();
     const duration lead = start + on.site.lead + options.start_spread - monotonic_clock::now();
     co_await on.loop.sleep(lead);
--- a/rig/soak/soak_run.h
+++ b/rig/soak/soak_run.h
@@ -22,6 +22,8 @@
     milliseconds start_spread{300};
     /// Control members that are missing from the start.
     int absent = 0;
+    /// Control members that are killed once while the processes start.
+    int early_kills = 0;
 };
 
 /// Runs and prints the verdicts; true if no rule was broken. Throws std::exception if the run
