--- a/rig/soak/platform_stand_in.cpp
+++ b/rig/soak/platform_stand_in.cpp
@@ -49,9 +49,11 @@
         const auto body = nlohmann::json::parse(call->body, nullptr, false);
         const std::string name = body.is_object() ? body.value("service", "") : "";
         const std::string id = body.is_object() ? body.value("id", "") : "";
-        record_.note("platform: promote " + id + " of " + name + ", holder " +
-                     call->headers["x-duty-holder"] + ", token " +
-                     call->headers["x-fencing-token"]);
+        std::string text = "platform: promote ";
+        text.append(id).append(" of ").append(name);
+        text.append(", holder ").append(call->headers["x-duty-holder"]);
+        text.append(", token ").append(call->headers["x-fencing-token"]);
+        record_.note(text);
         service* found = nullptr;
         for (const auto& it : services_) {
             found = it->name() == name ? it.get() : found;
--- a/rig/soak/process_launch.cpp
+++ b/rig/soak/process_launch.cpp
@@ -43,6 +43,7 @@
 std::vector<char*> pointers(std::vector<std::string>& words)
 {
     std::vector<char*> out;
+    out.reserve(words.size() + 1);
     for (std::string& word : words) {
         out.push_back(word.data());
     }
