Form the first membership without a seed that does not answer

Two lost members are to be borne. Cause: only the seed with the lowest address formed the membership, and only once every seed had answered that it is empty. A seed that is restarted before that with first_start false never counts as empty again. Change: a seed asks the empty seeds for their votes and forms the membership in the term that it won; a seed votes once in a term and only for a log as new as its own. All seeds form at once as before. Where the settings say whether the site starts for the first time, the others wait 2 s for a missing seed and form without it, if a quorum of their membership is a quorum of the seeds. Commands wait until as many voters are there as disks they must be on. The test "a seed that never starts keeps the others from forming a membership" fails before: no leader after 6 s. The fixture passes on sender addresses like the fleet does; without them a voter of a membership that was never committed stays out.

--- a/apps/daemon_settings.cpp
+++ b/apps/daemon_settings.cpp
@@ -129,6 +129,7 @@
     control.disks_lost_at_once =
         static_cast<std::size_t>(in.number("disks_lost_at_once", 1, 0, max_disks_lost));
     control.may_form = in.flag("first_start", false);
+    control.form_without_all_seeds = true;
     if (in.has("rates")) {
         control.rates = read_rates(in.section("rates"));
     }
--- a/control/control_options.h
+++ b/control/control_options.h
@@ -40,6 +40,9 @@
     /// Whether this member may form a new group. False when the settings say that other members
     /// already hold data.
     bool may_form = true;
+    /// Whether the first membership may be formed without a seed that does not answer. Only where
+    /// the settings say at each start whether the whole site starts for the first time.
+    bool form_without_all_seeds = false;
     /// Size of the log file from which on the log is replaced by a snapshot.
     std::uint64_t snapshot_log_bytes = std::uint64_t{1024} * 1024;
     /// Operations on the files of the data folder.
--- a/control/control_service_storage.cpp
+++ b/control/control_service_storage.cpp
@@ -59,6 +59,7 @@
         .election_timeout = options_.election_timeout,
         .election_jitter = options_.election_jitter,
         .may_form = it.may_form && options_.may_form,
+        .form_without_all_seeds = options_.form_without_all_seeds,
         .random_seed = random_identity()};
     consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
     return std::monostate{};
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -164,6 +164,24 @@
     out.push_back(std::move(batch));
 }
 
+/// Seeds that make up a quorum of them.
+std::size_t seed_quorum_size(const consensus_state& state)
+{
+    return state.options.seeds.size() / 2 + 1;
+}
+
+/// False while a membership that was formed without all seeds has too few voters to keep a command
+/// on as many disks as it must be on.
+bool has_voters_for_commands(const consensus_state& state)
+{
+    const std::size_t needed =
+        std::min(state.options.min_commit_copies, state.options.seeds.size());
+    const auto& entries = state.log.entries;
+    return state.members.voters.size() >= needed || state.log.snapshot.index > 0 ||
+           std::any_of(entries.begin(), entries.end(),
+                       [](const log_entry& it) { return it.kind == entry_kind::command; });
+}
+
 /// Voters that must have saved an entry before it is committed.
 std::size_t commit_quorum(const consensus_state& state)
 {
@@ -305,6 +323,35 @@
     replicate_to_all(state, out, now);
 }
 
+/// Members that are asked for their vote: the other voters or, for the first membership, the other
+/// seeds that are empty.
+std::vector<voter> other_electors(const consensus_state& state)
+{
+    if (!state.members.voters.empty()) {
+        return other_voters(state);
+    }
+    std::vector<voter> others;
+    others.reserve(state.empty_members.size());
+    for (const auto& [name, it] : state.empty_members) {
+        others.push_back(it);
+    }
+    return others;
+}
+
+/// True when the votes suffice: of a quorum of the membership or, for the first membership, of the
+/// seeds. The vote of a seed that has lost its disk since does not count.
+bool has_enough_votes(const consensus_state& state)
+{
+    if (!state.members.voters.empty()) {
+        return state.votes.size() >= quorum_size(state.members);
+    }
+    const auto n =
+        std::count_if(state.votes.begin(), state.votes.end(), [&](const std::string& it) {
+            return it == state.options.self.name || state.empty_members.contains(it);
+        });
+    return static_cast<std::size_t>(n) >= seed_quorum_size(state);
+}
+
 void start_election(consensus_state& state, actions& out, bool pre_vote, time_point now)
 {
     state.role = pre_vote ? consensus_role::pre_candidate : consensus_role::candidate;
@@ -317,15 +364,27 @@
     state.votes = {state.options.self.name};
     reset_election_timer(state, now);
     const std::uint64_t requested_term = pre_vote ? state.term + 1 : state.term;
-    for (const voter& it : other_voters(state)) {
+    for (const voter& it : other_electors(state)) {
         send(out, it,
              vote_request{requested_term, last_index(state.log), last_term(state.log), pre_vote});
     }
 }
 
+/// Begins the log with a membership of this member and the other seeds that are empty.
+void append_first_membership(consensus_state& state, actions& out)
+{
+    membership members{{voter{state.options.self, state.options.address}}};
+    for (const auto& [name, it] : state.empty_members) {
+        members.voters.push_back(it);
+    }
+    append_to_own_log(state, out,
+                      {log_entry{.kind = entry_kind::membership, .data = encode(members)}});
+    out.push_back(formation_completed{});
+}
+
 void count_votes(consensus_state& state, actions& out, time_point now)
 {
-    if (state.votes.size() < quorum_size(state.members)) {
+    if (!has_enough_votes(state)) {
         return;
     }
     if (state.role == consensus_role::pre_candidate) {
@@ -337,6 +396,9 @@
         count_votes(state, out, now);
     }
     else if (state.role == consensus_role::candidate) {
+        if (state.members.voters.empty()) {
+            append_first_membership(state, out);
+        }
         become_leader(state, out, now);
     }
 }
@@ -408,17 +470,6 @@
     return state.options.may_form && last_index(state.log) == 0 && state.members.voters.empty();
 }
 
-/// True when this member is the seed with the lowest address, which forms the first membership.
-bool is_formation_coordinator(const consensus_state& state)
-{
-    const auto& seeds = state.options.seeds;
-    const std::string& own = state.options.address;
-    const bool listed =
-        std::any_of(seeds.begin(), seeds.end(), [&](const voter& it) { return it.address == own; });
-    return listed && std::all_of(seeds.begin(), seeds.end(),
-                                 [&](const voter& it) { return own <= it.address; });
-}
-
 bool is_seed(const consensus_state& state, const std::string& address)
 {
     const auto& seeds = state.options.seeds;
@@ -426,22 +477,42 @@
                        [&](const voter& it) { return it.address == address; });
 }
 
-/// Forms the first membership if this member is the coordinator and every other seed has answered
-/// this process that it is empty. One seed that holds data prevents it for good.
+/// True when the other seeds that are empty suffice for the first membership. All of them do.
+/// Without all, a quorum of the membership must be a quorum of the seeds too, so that the log of a
+/// second formation cannot be committed beside that of the first one.
+bool may_form_membership(const consensus_state& state, time_point now)
+{
+    const std::size_t seeds = state.options.seeds.size();
+    const std::size_t empty = state.empty_members.size() + 1;
+    if (empty == seeds) {
+        return true;
+    }
+    const bool waited = now - state.started_at >= state.options.formation_patience;
+    return state.options.form_without_all_seeds && waited &&
+           empty / 2 + 1 >= seed_quorum_size(state);
+}
+
+/// True when this member is the seed that forms the first membership: the one with the lowest
+/// address of those that are known to be empty.
+bool is_formation_coordinator(const consensus_state& state, time_point now)
+{
+    const std::string& own = state.options.address;
+    return is_seed(state, own) && may_form_membership(state, now) &&
+           std::all_of(state.empty_members.begin(), state.empty_members.end(),
+                       [&](const auto& it) { return own <= it.second.address; });
+}
+
+/// Asks the empty seeds for their votes if this member is the coordinator. A seed votes once in a
+/// term and only for a log that is as new as its own, so two first memberships cannot both be
+/// committed.
 void try_formation(consensus_state& state, actions& out, time_point now)
 {
-    const bool all_empty = state.empty_members.size() + 1 == state.options.seeds.size();
-    if (!is_empty(state) || !is_formation_coordinator(state) || !all_empty) {
+    const bool waits_for_votes =
+        state.role == consensus_role::candidate && now < state.next_election_at;
+    if (!is_empty(state) || waits_for_votes || !is_formation_coordinator(state, now)) {
         return;
     }
-    membership members{{voter{state.options.self, state.options.address}}};
-    for (const auto& [name, it] : state.empty_members) {
-        members.voters.push_back(it);
-    }
-    append_to_own_log(state, out,
-                      {log_entry{.kind = entry_kind::membership, .data = encode(members)}});
-    out.push_back(formation_completed{});
-    start_election(state, out, true, now);
+    start_election(state, out, false, now);
     count_votes(state, out, now);
 }
 
@@ -712,7 +783,8 @@
 void on_commands(consensus_state& state, actions& out, const commands_proposed& event,
                  time_point now)
 {
-    if (state.role != consensus_role::leader || event.commands.empty()) {
+    if (state.role != consensus_role::leader || event.commands.empty() ||
+        !has_voters_for_commands(state)) {
         return;
     }
     std::vector<log_entry> entries;
@@ -765,6 +837,7 @@
     state.applied_index = state.log.snapshot.index;
     state.members = effective_membership(state.log);
     state.last_leader_contact = now;
+    state.started_at = now;
     // A new data folder has never answered a leader.
     state.last_leader_stopped = state.term == 0 || state.last_leader.name == options.self.name;
     state.hello_nonce = state.random();
@@ -793,7 +866,8 @@
 
 bool holds_leadership(const consensus_state& state, time_point now)
 {
-    if (state.role != consensus_role::leader || !committed_in_current_term(state)) {
+    if (state.role != consensus_role::leader || !committed_in_current_term(state) ||
+        !has_voters_for_commands(state)) {
         return false;
     }
     const duration timeout = state.options.election_timeout;
--- a/core/consensus/consensus_state.h
+++ b/core/consensus/consensus_state.h
@@ -41,6 +41,12 @@
     /// False for a member that must not count as empty in the formation of the first membership,
     /// such as one whose data folder was damaged.
     bool may_form = true;
+    /// True if the first membership may be formed without a seed that does not answer. Only where a
+    /// member that lost its disk is known not to form: `may_form` is false for it.
+    bool form_without_all_seeds = false;
+    /// How long after its start a seed waits for the others before it forms without all. A seed
+    /// that starts later joins like any other member.
+    duration formation_patience = milliseconds(2000);
     /// Seed of the election jitter and of the hello nonce.
     std::uint64_t random_seed = 1;
 };
@@ -81,6 +87,8 @@
     std::uint64_t applied_index = 0;
     /// The leader of the current term, if known.
     std::optional<replica_id> leader;
+    /// When the process of this member started.
+    time_point started_at{};
     /// When this member last received a message of a leader. Starts as the start time of the
     /// process: it may have received one just before its restart.
     time_point last_leader_contact{};
--- a/core/tests/consensus_fixture.h
+++ b/core/tests/consensus_fixture.h
@@ -16,6 +16,8 @@
 struct simulated_disk {
     std::uint64_t incarnation = 0;
     stored_consensus stored;
+    /// True if another disk was there before.
+    bool replaced = false;
 };
 
 /// Settings of the members of a fixture.
@@ -25,6 +27,9 @@
     std::size_t seeds = 0;
     /// An entry is committed only when it is on at least one disk more than this.
     std::size_t disks_lost_at_once = 0;
+    /// Whether a membership is formed without all seeds. Members know then whether their disk was
+    /// replaced.
+    bool form_without_all_seeds = false;
     /// Members that are not started with the others.
     std::set<std::string> stopped_at_start = {};
 };
@@ -59,6 +64,8 @@
         if (options_.disks_lost_at_once > 0) {
             options.max_voters = options_.disks_lost_at_once * 2 + 1;
         }
+        options.form_without_all_seeds = options_.form_without_all_seeds;
+        options.may_form = !options_.form_without_all_seeds || !disks_[name].replaced;
         options.random_seed = random_();
         members_.insert_or_assign(name, make_consensus(options, disks_[name].stored, now_));
         applied_[name] = {};
@@ -71,7 +78,11 @@
     void stop(const std::string& name) { members_.erase(name); }
 
     /// Replaces the disk of a member by an empty one with a new incarnation.
-    void wipe_disk(const std::string& name) { disks_[name] = {.incarnation = random_() | 1}; }
+    void wipe_disk(const std::string& name)
+    {
+        const bool replaced = disks_.contains(name);
+        disks_[name] = {.incarnation = random_() | 1, .stored = {}, .replaced = replaced};
+    }
 
     /// Loses all messages between two members until heal().
     void cut(const std::string& a, const std::string& b)
@@ -179,36 +190,36 @@
     void perform(const std::string& name, const consensus_action& action)
     {
         stored_consensus& disk = disks_[name].stored;
-        std::visit(
-            overloaded{
-                [&](const save_vote& it) {
-                    disk.term = it.term;
-                    disk.voted_for = it.voted_for;
-                    disk.last_leader = it.last_leader;
-                },
-                [&](const save_entries& it) {
-                    truncate_from(disk.log, it.first_index);
-                    disk.log.entries.insert(disk.log.entries.end(), it.entries.begin(),
-                                            it.entries.end());
-                },
-                [&](const save_snapshot& it) { replace_prefix(disk.log, it.snapshot); },
-                [&](const adopt_snapshot& it) {
-                    replace_prefix(disk.log, it.snapshot);
-                    applied_[name] = commands_in_snapshot(name);
-                },
-                [&](const send_to_member& it) {
-                    queue_.push_back({it.address, {member(name).options.self, it.to, it.message}});
-                },
-                [&](const apply_entries& it) {
-                    for (const log_entry& entry : it.entries) {
-                        if (entry.kind == entry_kind::command) {
-                            applied_[name].push_back(entry.data);
-                        }
-                    }
-                },
-                [](const auto&) {},
-            },
-            action);
+        std::visit(overloaded{
+                       [&](const save_vote& it) {
+                           disk.term = it.term;
+                           disk.voted_for = it.voted_for;
+                           disk.last_leader = it.last_leader;
+                       },
+                       [&](const save_entries& it) {
+                           truncate_from(disk.log, it.first_index);
+                           disk.log.entries.insert(disk.log.entries.end(), it.entries.begin(),
+                                                   it.entries.end());
+                       },
+                       [&](const save_snapshot& it) { replace_prefix(disk.log, it.snapshot); },
+                       [&](const adopt_snapshot& it) {
+                           replace_prefix(disk.log, it.snapshot);
+                           applied_[name] = commands_in_snapshot(name);
+                       },
+                       [&](const send_to_member& it) {
+                           queue_.push_back(
+                               {it.address, {member(name).options.self, it.to, it.message, name}});
+                       },
+                       [&](const apply_entries& it) {
+                           for (const log_entry& entry : it.entries) {
+                               if (entry.kind == entry_kind::command) {
+                                   applied_[name].push_back(entry.data);
+                               }
+                           }
+                       },
+                       [](const auto&) {},
+                   },
+                   action);
     }
 
     void deliver(const std::set<std::string>& frozen)
--- a/core/tests/consensus_test.cpp
+++ b/core/tests/consensus_test.cpp
@@ -188,6 +188,149 @@
     CHECK(cluster.applied("c") == std::vector<std::string>{"kept"});
 }
 
+TEST_CASE("a seed that never starts keeps the others from forming a membership", "[consensus]")
+{
+    // Guards against a site that serves nothing because one VM is missing at its first start.
+    for (const char* missing : {"a", "b", "c"}) {
+        consensus_fixture cluster({"a", "b", "c", "d", "e"}, 6,
+                                  {.seeds = 3,
+                                   .disks_lost_at_once = 2,
+                                   .form_without_all_seeds = true,
+                                   .stopped_at_start = {missing}});
+        cluster.run(seconds(6));
+        REQUIRE(cluster.leader());
+        cluster.propose(*cluster.leader(), "x");
+        cluster.run(seconds(1));
+        CHECK(cluster.member(*cluster.leader()).members.voters.size() == 4);
+        CHECK(cluster.applied("d") == std::vector<std::string>{"x"});
+
+        cluster.start(missing);
+        cluster.run(seconds(4));
+        CHECK(cluster.member(*cluster.leader()).members.voters.size() == 5);
+        CHECK(cluster.applied(missing) == std::vector<std::string>{"x"});
+    }
+}
+
+TEST_CASE("a membership of two seeds keeps a command on fewer disks than may be lost",
+          "[consensus]")
+{
+    consensus_fixture cluster({"a", "b", "c", "d"}, 7,
+                              {.seeds = 3,
+                               .disks_lost_at_once = 2,
+                               .form_without_all_seeds = true,
+                               .stopped_at_start = {"a", "d"}});
+    cluster.run(seconds(10));
+    CHECK_FALSE(cluster.leader());
+    for (const char* it : {"b", "c"}) {
+        cluster.propose(it, "x");
+        CHECK(cluster.member(it).members.voters.size() == 2);
+    }
+    cluster.run(seconds(1));
+    CHECK(cluster.applied("b").empty());
+    CHECK(cluster.applied("c").empty());
+
+    cluster.start("d");
+    cluster.run(seconds(4));
+    REQUIRE(cluster.leader());
+    cluster.propose(*cluster.leader(), "y");
+    cluster.run(seconds(1));
+    CHECK(cluster.applied("d") == std::vector<std::string>{"y"});
+}
+
+TEST_CASE("members that lost their disks form a membership beside one that has data", "[consensus]")
+{
+    consensus_fixture cluster(
+        {"a", "b", "c", "d", "e"}, 8,
+        {.seeds = 3, .disks_lost_at_once = 2, .form_without_all_seeds = true});
+    cluster.run(seconds(5));
+    REQUIRE(cluster.leader());
+    cluster.propose(*cluster.leader(), "kept");
+    cluster.run(milliseconds(200));
+    for (const char* it : {"a", "b", "c", "d", "e"}) {
+        cluster.stop(it);
+    }
+    cluster.wipe_disk("a");
+    cluster.wipe_disk("b");
+    // The seeds whose disks were lost are up before any member that has data.
+    cluster.start("a");
+    cluster.start("b");
+    cluster.run(seconds(10));
+    CHECK_FALSE(cluster.leader());
+    for (const char* it : {"c", "d", "e"}) {
+        cluster.start(it);
+    }
+    cluster.run(seconds(6));
+    REQUIRE(cluster.leader());
+    CHECK(cluster.applied("a") == std::vector<std::string>{"kept"});
+}
+
+TEST_CASE("two seeds form memberships of their own whose logs diverge", "[consensus]")
+{
+    rc::prop("all members apply the same list of commands", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto faults = *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 15));
+        const std::vector<std::string> names{"a", "b", "c", "d", "e"};
+        consensus_fixture cluster(names, seed,
+                                  {.seeds = 3,
+                                   .disks_lost_at_once = 2,
+                                   .form_without_all_seeds = true,
+                                   .stopped_at_start = {names.begin(), names.end()}});
+        std::vector<std::string> committed;
+        int next = 0;
+        const auto compare = [&] {
+            RC_ASSERT(cluster.count_leaders() <= 1);
+            for (const std::string& it : names) {
+                const auto& applied = cluster.applied(it);
+                const std::size_t common_length = std::min(applied.size(), committed.size());
+                RC_ASSERT(std::equal(applied.begin(), applied.begin() + common_length,
+                                     committed.begin()));
+                if (applied.size() > committed.size()) {
+                    committed = applied;
+                }
+            }
+        };
+        // Seeds start, stop, freeze and are cut off while the membership is formed.
+        for (const int fault : faults) {
+            const std::string& victim = names[static_cast<std::size_t>(fault) % 5];
+            std::set<std::string> frozen;
+            if (fault < 5 && cluster.is_running(victim)) {
+                cluster.isolate(victim);
+            }
+            else if (!cluster.is_running(victim)) {
+                cluster.start(victim);
+            }
+            else if (fault < 10) {
+                cluster.stop(victim);
+            }
+            else {
+                frozen.insert(victim);
+            }
+            cluster.run(milliseconds(50 + 130 * fault), frozen);
+            if (fault % 3 == 0) {
+                cluster.heal();
+            }
+            for (const std::string& it : names) {
+                if (cluster.is_running(it)) {
+                    cluster.propose(it, std::to_string(next++));
+                }
+            }
+            compare();
+        }
+        cluster.heal();
+        for (const std::string& it : names) {
+            if (!cluster.is_running(it)) {
+                cluster.start(it);
+            }
+        }
+        cluster.run(seconds(10));
+        compare();
+        RC_ASSERT(cluster.leader());
+        for (const std::string& it : names) {
+            RC_ASSERT(cluster.applied(it) == committed);
+        }
+    });
+}
+
 TEST_CASE("a member that lacks entries dropped by the leader's snapshot gets the snapshot",
           "[consensus]")
 {
