Check the key of a transaction at each of its statements

Callers saw: an open transaction went on under a withdrawn key.

Cause: the key was looked up when an operation was admitted and never again. Class: what held at admission was taken to hold for as long as what it admitted. The same cause was found in three more places: a statement that waited for a connection or a token was dispatched under a key withdrawn meanwhile; SET, PREPARE and DEALLOCATE were answered without a look at the configuration; a transaction on a replica of an entry that control does not reach outlived the time after which that entry stops accepting keys. Requests of the HTTP role are authenticated one by one, and its open transactions belong to the customer, so they do not have it (read, not run).

Change: a transaction may continue while its customer is known to hold the key. Otherwise it is rolled back as soon as the configuration arrives, or before its next statement, which is answered ABORTED; what waits is refused without having run (BUSY, or ABORTED inside a transaction); a statement that an instance runs is let finish, a COMMIT too. Idle sessions without access are ended once they have been idle for 150 ms, and only under a lease. A dropped or changed route still applies from the next transaction onward. New event 6019 transaction_revoked with the version.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -156,6 +156,9 @@
          "Home is slower than another distance with its cost; some reads are sent there."},
         {event_id::spill_ended, "spill_ended", info,
          "No read of the service is sent away from home any more."},
+        {event_id::transaction_revoked, "transaction_revoked", info,
+         "An open transaction was rolled back: its key was withdrawn, or may have been while the "
+         "lease is gone."},
         {event_id::declared_configuration_refused, "declared_configuration_refused", warning,
          "A declared configuration is invalid; no part of it was applied."},
         {event_id::declared_configuration_accepted, "declared_configuration_accepted", info,
--- a/base/event.h
+++ b/base/event.h
@@ -86,6 +86,7 @@
     statement_displaced = 6014,
     spill_started = 6017,
     spill_ended = 6018,
+    transaction_revoked = 6019,
 
     declared_configuration_refused = 7001,
     declared_configuration_accepted = 7002,
--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -16,10 +16,6 @@
 /// most of the time, and each tick wakes the process up.
 constexpr milliseconds idle_tick_interval(40);
 
-/// A session that was served within this time is not idle yet: its caller may be about to send the
-/// next statement.
-constexpr milliseconds min_idle_time(150);
-
 }  // namespace
 
 statement_entry::statement_entry(statement_entry_options options, fleet_node& fleet)
@@ -100,7 +96,7 @@
     }
     isolated_ = !step.ready;
     if (step.end_sessions_opened_before) {
-        sessions_.end_idle_sessions(min_idle_time, *step.end_sessions_opened_before);
+        sessions_.end_idle_sessions(options_.sessions.min_idle_time, *step.end_sessions_opened_before);
     }
     const milliseconds interval = sessions_.is_answering() ? tick_interval : idle_tick_interval;
     if (timer_.intervalAsDuration() != interval) {
@@ -117,7 +113,7 @@
     lease_->drain();
 }
 
-void statement_entry::end_idle_sessions() { sessions_.end_idle_sessions(min_idle_time); }
+void statement_entry::end_idle_sessions() { sessions_.end_idle_sessions(options_.sessions.min_idle_time); }
 
 void statement_entry::stop()
 {
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -12,10 +12,6 @@
 /// One of this many successful statements is logged.
 constexpr std::uint64_t success_log_interval = 256;
 
-/// Retry delay before the first configuration. Control elects a leader within about one second, and
-/// most early callers arrive during the election.
-constexpr milliseconds configuration_retry_after(500);
-
 /// Retry delay while this VM stops. It is short, since other VMs can serve the caller at once.
 constexpr milliseconds stopping_retry_after(50);
 
@@ -54,77 +50,6 @@
     }
 }
 
-std::variant<std::uint64_t, statement_error>
-session_service::open_session(const std::string& database, const std::string& key,
-                              std::function<void()> disconnect_caller)
-{
-    const declared_configuration& conf = registry_->declared;
-    const time_point now = hooks_.now();
-    const auto refuse = [&](const statement_error& error) {
-        log_event(event_id::session_refused,
-                  {{"database", database},
-                   {"reason", error.text},
-                   {"version", std::to_string(conf.version)},
-                   {"lease", lease_text(now)},
-                   {"control_answered_ms_ago", control_silence_text(now)}});
-        return error;
-    };
-    if (conf.version == 0) {
-        return refuse({statement_error_code::busy,
-                       retry_after_text(configuration_retry_after, "no configuration yet")});
-    }
-    const auto route = conf.routes.find(database);
-    if (route == conf.routes.end()) {
-        return refuse(
-            checked_by_lease({statement_error_code::unknown_database, "no such database"}, now));
-    }
-    if (!route->second.open_to_all && !conf.customer_of_key.contains(key)) {
-        return refuse(
-            checked_by_lease({statement_error_code::not_authorized, "the key is not known"}, now));
-    }
-    const std::uint64_t number = next_session_++;
-    sessions_[number] = std::make_unique<caller_session>(
-        caller_session{.number = number,
-                       .database = database,
-                       .key = key,
-                       .disconnect_caller = std::move(disconnect_caller),
-                       .opened_at = now,
-                       .last_active_at = now});
-    return number;
-}
-
-statement_error session_service::checked_by_lease(const statement_error& error,
-                                                  time_point now) const
-{
-    return hooks_.holds_lease(now)
-               ? error
-               : statement_error{statement_error_code::busy,
-                                 retry_after_text(expected_lease_wait(now),
-                                                  "the configuration may be outdated")};
-}
-
-void session_service::refuse_as_unknown(caller_session& session, const std::string& reason,
-                                        const statement_error& error)
-{
-    const time_point now = hooks_.now();
-    const duration retry_after = hooks_.holds_lease(now) ? duration{0} : expected_lease_wait(now);
-    log_refusal(session, reason, retry_after);
-    const statement_error told = checked_by_lease(error, now);
-    answer_error(session, told.code, told.text);
-}
-
-bool session_service::may_lack_withdrawals(time_point now) const
-{
-    return !hooks_.holds_lease(now) && now - lease_last_held_at_ >= options_.key_grace;
-}
-
-duration session_service::expected_lease_wait(time_point now) const
-{
-    const duration without_lease =
-        hooks_.holds_lease(now) ? duration{0} : now - lease_last_held_at_;
-    return std::max(without_lease, options_.lease_renewal_time);
-}
-
 void session_service::answer(caller_session& session, const statement_answer& it)
 {
     const std::unique_ptr<pending_statement> done = std::move(session.pending);
@@ -180,23 +105,6 @@
                {"control_answered_ms_ago", control_silence_text(now)}});
 }
 
-std::string session_service::lease_text(time_point now) const
-{
-    return hooks_.holds_lease(now) ? "held" : "expired";
-}
-
-std::string session_service::control_silence_text(time_point now) const
-{
-    const time_point answered_at = hooks_.answered_request_sent_at();
-    return answered_at == time_point{} ? "-" : milliseconds_text(now - answered_at);
-}
-
-std::string session_service::customer_of_key(const caller_session& session) const
-{
-    const auto holder = registry_->declared.customer_of_key.find(session.key);
-    return holder == registry_->declared.customer_of_key.end() ? "-" : holder->second;
-}
-
 void session_service::run(std::uint64_t number, statement request, answer_handler on_answer)
 {
     caller_session* const session = find_session(number);
@@ -258,58 +166,6 @@
                  retry_after_text(retry_after, "the customer's rate is used up"));
 }
 
-void session_service::admit_operation(caller_session& session)
-{
-    const declared_configuration& conf = registry_->declared;
-    const auto found = conf.routes.find(session.database);
-    if (found == conf.routes.end()) {
-        refuse_as_unknown(session, "unknown_database",
-                          {statement_error_code::unknown_database, "no such database"});
-        return;
-    }
-    const auto holder = conf.customer_of_key.find(session.key);
-    if (holder == conf.customer_of_key.end() && !found->second.open_to_all) {
-        refuse_as_unknown(session, "not_authorized",
-                          {statement_error_code::not_authorized, "the key is not known"});
-        return;
-    }
-    const time_point now = hooks_.now();
-    if (!found->second.open_to_all && may_lack_withdrawals(now)) {
-        const duration retry_after = expected_lease_wait(now);
-        log_refusal(session, "configuration_outdated", retry_after);
-        answer_error(session, statement_error_code::busy,
-                     retry_after_text(retry_after, "the key may have been withdrawn"));
-        return;
-    }
-    const statement& request = session.pending->request;
-    const bool begins =
-        request.kind == statement_kind::begin || request.kind == statement_kind::begin_read_only;
-    session.pending->transaction_to_begin = caller_transaction{
-        .read_only = request.kind == statement_kind::begin_read_only,
-        .begin_id = begins ? request.id : std::string(),
-        .route = found->second,
-        .customer = holder == conf.customer_of_key.end() ? std::string() : holder->second};
-    const std::string& customer = session.pending->transaction_to_begin->customer;
-    if (!conf.customers.contains(customer)) {
-        start_operation(session);
-        return;
-    }
-    const auto res = take_token(tokens_, options_.rates,
-                                {.number = session.number,
-                                 .customer = customer,
-                                 .may_use_isolated_share = hooks_.holds_lease(now)},
-                                now);
-    if (const auto* const refused = std::get_if<token_refused>(&res)) {
-        refuse_for_rate(session, refused->retry_after);
-    }
-    else if (std::holds_alternative<token_taken>(res)) {
-        start_operation(session);
-    }
-    else {
-        send_token_request(now);
-    }
-}
-
 void session_service::start_operation(caller_session& session)
 {
     session.transaction = std::exchange(session.pending->transaction_to_begin, std::nullopt);
@@ -373,7 +229,11 @@
         case statement_kind::rollback:
             answer_error(session, statement_error_code::malformed, "there is no transaction");
             return;
-        default: run_local(session); return;
+        default:
+            if (!refuse_without_access(session)) {
+                run_local(session);
+            }
+            return;
     }
     if (request.kind == statement_kind::execute && !session.prepared.contains(request.name)) {
         answer_error(session, statement_error_code::unknown_statement, request.name);
@@ -387,6 +247,9 @@
 {
     const statement& request = session.pending->request;
     caller_transaction& transaction = *session.transaction;
+    if (!transaction.aborted && !may_continue(session, hooks_.now())) {
+        revoke_transaction(session);
+    }
     const bool needs_instance =
         request.kind == statement_kind::read || request.kind == statement_kind::write ||
         request.kind == statement_kind::execute || request.kind == statement_kind::commit;
@@ -404,8 +267,7 @@
         else {
             session.state = session_state::failed_transaction;
         }
-        answer_error(session, statement_error_code::aborted,
-                     retry_after_text(rolled_back_retry_after, rolled_back_text));
+        answer_rolled_back(session);
         return;
     }
     if (!needs_instance && request.kind != statement_kind::rollback) {
@@ -452,8 +314,7 @@
     const bool commits = session.pending->request.kind == statement_kind::commit;
     end_transaction(session);
     if (commits) {
-        answer_error(session, statement_error_code::aborted,
-                     retry_after_text(rolled_back_retry_after, rolled_back_text));
+        answer_rolled_back(session);
     }
     else {
         answer_success(session);
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -45,6 +46,8 @@
     duration leaving_grace = seconds(4);
     /// Longest time that a planned change of primary waits for running statements.
     duration settle_timeout = milliseconds(1000);
+    /// A session that was served within this time may be about to send its next statement.
+    duration min_idle_time = milliseconds(150);
     /// Idle connections are closed after this time.
     duration idle_connection_timeout = seconds(30);
     /// An instance that control's directory lacks is kept for this long, since a new control leader
@@ -259,8 +262,8 @@
     /// Adapts the share of the reads that is sent away, and logs its start and end.
     void step_placement(const std::string& name, service_state& service, time_point now);
 
-    /// Sends the pending statement to an instance. False if no instance has a connection available
-    /// or the attempts are used up.
+    /// Sends the pending statement to an instance, or refuses it if its key was withdrawn. False if
+    /// no instance has a connection or the attempts are used up.
     bool dispatch(caller_session& session, service_state& service);
     void start_on_instance(caller_session& session, service_state& service, instance_pool& pool);
     pooled_connection_ptr acquire_connection(const caller_session& session, instance_pool& pool);
@@ -374,8 +377,28 @@
     /// What a caller is told whose database or key the configuration in force lacks: this error
     /// under a lease, to come back otherwise, since a newer configuration may hold it.
     statement_error checked_by_lease(const statement_error& error, time_point now) const;
-    void refuse_as_unknown(caller_session& session, const std::string& reason,
-                           const statement_error& error);
+    /// Why a session is refused, for the log, and what its caller is told.
+    struct access_refusal {
+        std::string reason;
+        statement_error error;
+    };
+    /// Why the configuration in force does not allow sessions with this key on this database.
+    std::optional<access_refusal> find_access_refusal(const std::string& database,
+                                                      const std::string& key, time_point now) const;
+    /// Refuses the pending statement if the configuration in force does not allow the session.
+    bool refuse_without_access(caller_session& session);
+    /// True while the customer of the session's transaction is known to hold the session's key.
+    bool may_continue(const caller_session& session, time_point now) const;
+    /// Rolls back the session's transaction because its key was withdrawn.
+    void revoke_transaction(caller_session& session);
+    /// Refuses the pending statement, which no instance runs, because its key was withdrawn.
+    void refuse_revoked(caller_session& session);
+    /// Tells the caller that its transaction was rolled back.
+    void answer_rolled_back(caller_session& session);
+    /// Rolls back the idle transactions that may not continue under the configuration in force.
+    void apply_withdrawals(time_point now);
+    /// Ends the idle sessions that the configuration in force does not allow any more.
+    void end_revoked_sessions(time_point now);
     /// True if the lease expired so long ago that any key may have been withdrawn since.
     bool may_lack_withdrawals(time_point now) const;
     /// When a lease can be expected: an expired one is renewed only after as much time as has
@@ -415,6 +438,8 @@
     time_point lease_last_held_at_{};
     /// Deadlines and callbacks of callers that wait for the first configuration.
     std::deque<std::pair<time_point, std::function<void()>>> configuration_waiters_;
+    /// Sessions that the configuration in force does not allow, until they are ended.
+    std::set<std::uint64_t> revoked_sessions_;
     /// True once begin_closing() was called.
     bool closing_ = false;
     std::uint64_t next_session_ = 1;
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -142,6 +142,10 @@
 bool session_service::dispatch(caller_session& session, service_state& service)
 {
     const time_point now = hooks_.now();
+    if (!may_continue(session, now)) {
+        refuse_revoked(session);
+        return true;
+    }
     if (session.pending->attempts >= options_.max_attempts) {
         return false;
     }
--- a/pooling/session_service_updates.cpp
+++ b/pooling/session_service_updates.cpp
@@ -40,6 +40,7 @@
         set_customer_limits(tokens_, name, {.rate = limits.rate, .burst = limits.burst});
     }
     update_evacuations(hooks_.now());
+    apply_withdrawals(hooks_.now());
     notify_configuration_waiters(hooks_.now());
     for (const auto& [name, record] : registry_->primaries) {
         service_state& service = services_[name];
@@ -341,6 +342,7 @@
     }
     last_contact_ = hooks_.answered_request_sent_at();
     apply_restrictions(now);
+    end_revoked_sessions(now);
     notify_configuration_waiters(now);
     record_control_answer(tokens_, hooks_.answered_request_sent_at());
     apply_token_decisions(refuse_timed_out_callers(tokens_, options_.rates, now));
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -652,6 +652,192 @@
     CHECK(vm.instances["a"].reads == 1);
 }
 
+TEST_CASE("an open transaction runs nothing and commits nothing under a withdrawn key",
+          "[sessions][keys]")
+{
+    vm_fixture vm;
+    vm.state.declared.routes["open"] = vm_fixture::route(read_consistency::primary);
+    vm.state.declared.routes["open"].open_to_all = true;
+    vm.sessions.on_configuration();
+    const std::string database = GENERATE("strict", "own", "open");
+    const auto session = vm.open_session(database);
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::begin, .id = "t1"})));
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    declared_configuration& conf = vm.state.declared;
+
+    const std::string change = GENERATE("withdrawn", "passed on", "customer removed");
+    const bool commits = GENERATE(true, false);
+    INFO(database << ", " << change);
+    if (change == "passed on") {
+        conf.customer_of_key["key"] = "port";
+    }
+    else {
+        conf.customer_of_key.erase("key");
+    }
+    if (change == "customer removed") {
+        conf.customers.erase("agence");
+    }
+    const std::size_t before = vm.received_count("a");
+    vm.sessions.on_configuration();
+    // The instance rolls back at once, not only with the caller's next statement.
+    CHECK(vm.connections[0]->closed);
+    const statement next = commits ? statement{.kind = statement_kind::commit} : write_of("y");
+    const statement_answer answer = vm.run(session, next);
+    CHECK(error_code_of(answer) == statement_error_code::aborted);
+    CHECK(answer.state == (commits ? session_state::idle : session_state::failed_transaction));
+    if (!commits) {
+        CHECK(is_success(vm.run(session, {.kind = statement_kind::rollback})));
+    }
+    CHECK(vm.received_count("a") == before);
+    // The next operation is admitted, or not, like that of a new session.
+    const statement_answer later = vm.run(session, read_of("x"));
+    const auto holder = conf.customer_of_key.find("key");
+    if (database != "open" && holder == conf.customer_of_key.end()) {
+        CHECK(error_code_of(later) == statement_error_code::not_authorized);
+    }
+    else {
+        CHECK(is_success(later));
+        CHECK(vm.connections.back()->target.customer ==
+              (holder == conf.customer_of_key.end() ? "" : holder->second));
+    }
+}
+
+TEST_CASE("a transaction that begins while its key is withdrawn runs nothing", "[sessions][keys]")
+{
+    vm_fixture vm;
+    const auto session = vm.open_session("strict");
+    vm.control_answers = false;
+    vm.submit(session, {.kind = statement_kind::begin, .id = "t1"});
+    vm.state.declared.customer_of_key.erase("key");
+    vm.sessions.on_configuration();
+    vm.sessions.on_token_grants(1, {{"agence", {.for_waiting = 10}}});
+    if (*vm.answered && is_success(vm.last_answer)) {
+        CHECK(error_code_of(vm.run(session, read_of("x"))) == statement_error_code::aborted);
+    }
+    CHECK(vm.connections.empty());
+}
+
+TEST_CASE("a statement that waits when its key is withdrawn is refused and not run",
+          "[sessions][keys]")
+{
+    vm_fixture vm;
+    const bool in_transaction = GENERATE(true, false);
+    const auto session = vm.open_session("strict");
+    if (in_transaction) {
+        CHECK(is_success(vm.run(session, {.kind = statement_kind::begin, .id = "t1"})));
+    }
+    vm.instances["a"].full_refusals = 1;
+    vm.submit(session, write_of("x"));
+    vm.deliver_events();
+    REQUIRE(!*vm.answered);
+    vm.state.declared.customer_of_key["key"] = "port";
+    vm.sessions.on_configuration();
+    vm.advance_time(milliseconds(900));
+    REQUIRE(*vm.answered);
+    CHECK(error_code_of(vm.last_answer) ==
+          (in_transaction ? statement_error_code::aborted : statement_error_code::busy));
+    CHECK(vm.instances["a"].items.empty());
+}
+
+TEST_CASE("a statement that runs when its key is withdrawn is let finish", "[sessions][keys]")
+{
+    vm_fixture vm;
+    const auto session = vm.open_session("strict");
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::begin, .id = "t1"})));
+    CHECK(is_success(vm.run(session, write_of("x"))));
+    const bool commits = GENERATE(true, false);
+    vm.submit(session, commits ? statement{.kind = statement_kind::commit} : read_of("x"));
+    vm.state.declared.customer_of_key.erase("key");
+    vm.sessions.on_configuration();
+    vm.deliver_events();
+    REQUIRE(*vm.answered);
+    CHECK(is_success(vm.last_answer));
+    const auto later = vm.run(session, commits ? read_of("x") : write_of("y"));
+    CHECK(error_code_of(later) ==
+          (commits ? statement_error_code::not_authorized : statement_error_code::aborted));
+}
+
+TEST_CASE("a change that leaves the key in place does not end a transaction", "[sessions][keys]")
+{
+    vm_fixture vm;
+    declared_configuration& conf = vm.state.declared;
+    conf.routes["open"] = vm_fixture::route(read_consistency::primary);
+    conf.routes["open"].open_to_all = true;
+    vm.sessions.on_configuration();
+    const auto keyed = vm.open_session("strict");
+    const auto unknown = vm.open_session("open", "no key");
+    for (const auto session : {keyed, unknown}) {
+        CHECK(is_success(vm.run(session, {.kind = statement_kind::begin, .id = "t"})));
+        CHECK(is_success(vm.run(session, write_of("x"))));
+    }
+    // Routes and limits apply from the next transaction onward.
+    conf.routes.erase("strict");
+    conf.routes.erase("open");
+    conf.customers["agence"].rate = 1;
+    conf.customer_of_key.erase("other");
+    conf.customer_of_key["added"] = "agence";
+    ++conf.version;
+    vm.sessions.on_configuration();
+    vm.advance_time(milliseconds(500));
+    for (const auto session : {keyed, unknown}) {
+        CHECK(is_success(vm.run(session, {.kind = statement_kind::commit})));
+    }
+}
+
+TEST_CASE("a transaction on a replica ends once its key may have been withdrawn",
+          "[sessions][keys]")
+{
+    // Guards against reads under a withdrawn key by an entry that control cannot reach.
+    vm_fixture vm;
+    vm.state.declared.routes["bounded"].max_staleness = seconds(30);
+    vm.sessions.on_configuration();
+    REQUIRE(is_success(vm.run(vm.open_session("strict"), read_of("x"))));
+    const auto session = vm.open_session("bounded");
+    CHECK(is_success(vm.run(session, {.kind = statement_kind::begin_read_only, .id = "t"})));
+    CHECK(is_success(vm.run(session, read_of("x"))));
+    REQUIRE(vm.connections.back()->target.instance == "b");
+    vm.advance_time(milliseconds(100));
+    vm.lease = false;
+    vm.advance_time(milliseconds(1900));
+    CHECK(is_success(vm.run(session, read_of("x"))));
+    vm.advance_time(milliseconds(150));
+    CHECK(error_code_of(vm.run(session, read_of("x"))) == statement_error_code::aborted);
+}
+
+TEST_CASE("a session without access sets nothing and is ended once it is idle", "[sessions][keys]")
+{
+    vm_fixture vm;
+    int ended = 0;
+    const auto open = [&](const std::string& key) {
+        return std::get<std::uint64_t>(
+            vm.sessions.open_session("strict", key, [&ended] { ++ended; }));
+    };
+    const auto idle = open("key");
+    const auto in_transaction = open("key");
+    (void)open("other");
+    CHECK(is_success(vm.run(in_transaction, {.kind = statement_kind::begin, .id = "t"})));
+    vm.state.declared.customer_of_key.erase("key");
+    vm.sessions.on_configuration();
+    for (const auto kind : {statement_kind::set_value, statement_kind::prepare_read}) {
+        const auto answer = vm.run(idle, {.kind = kind, .name = "n", .argument = "v"});
+        CHECK(error_code_of(answer) == statement_error_code::not_authorized);
+    }
+    CHECK(ended == 0);
+    // Without a lease, a newer configuration may hold the key again.
+    vm.lease = false;
+    vm.advance_time(milliseconds(500));
+    CHECK(ended == 0);
+    vm.lease = true;
+    vm.advance_time(milliseconds(10));
+    CHECK(ended == 1);
+    vm.sessions.close_session(idle);
+    // The caller of a transaction is told first that it was rolled back.
+    CHECK(error_code_of(vm.run(in_transaction, {.kind = statement_kind::commit})) ==
+          statement_error_code::aborted);
+    vm.advance_time(milliseconds(150));
+    CHECK(ended == 2);
+}
+
 TEST_CASE("statements beyond a customer's rate are refused and not run", "[sessions]")
 {
     vm_fixture vm;
