Count a member that restarts before the first membership as empty

Cause: whether a member may form was read from the settings of each start, which say true only once. Change: a data folder that is created at the first start is marked; it has lost nothing, whatever a later start says. A folder that was lost or set aside is new and gets no mark. The new test of log_storage fails before: opening takes no such mark.

--- a/control/control_service_storage.cpp
+++ b/control/control_service_storage.cpp
@@ -27,7 +27,7 @@
 
 outcome<std::monostate> control_service::open_storage()
 {
-    auto opened = log_storage::open(options_.data_folder, storage_);
+    auto opened = log_storage::open(options_.data_folder, storage_, options_.may_form);
     if (!succeeded(opened)) {
         return failure_of(opened);
     }
@@ -58,7 +58,8 @@
         .heartbeat_interval = options_.heartbeat_interval,
         .election_timeout = options_.election_timeout,
         .election_jitter = options_.election_jitter,
-        .may_form = it.may_form && options_.may_form,
+        // A member that restarts before the first membership holds no data, but has lost none.
+        .may_form = it.may_form && (options_.may_form || it.created_at_first_start),
         .form_without_all_seeds = options_.form_without_all_seeds,
         .random_seed = random_identity()};
     consensus_ = make_consensus(conf, std::move(it.stored), monotonic_clock::now());
--- a/control/log_storage.cpp
+++ b/control/log_storage.cpp
@@ -19,6 +19,8 @@
 
 constexpr int file_mode = 0600;
 
+constexpr const char* first_start_file = "first_start";
+
 /// Room for the votes of an election and some changes, so that a member whose disk stays full does
 /// not come and go.
 constexpr std::size_t min_room_bytes = 4096;
@@ -164,8 +166,13 @@
 /// Creates the files of a new folder. The incarnation is written last, because its presence marks
 /// the folder as initialised.
 outcome<std::monostate> create_files(const file_operations& files, const std::string& folder,
-                                     std::uint64_t incarnation)
+                                     std::uint64_t incarnation, bool first_start)
 {
+    if (first_start) {
+        if (auto res = replace_file(files, folder, first_start_file, ""); !succeeded(res)) {
+            return res;
+        }
+    }
     if (auto res = replace_file(files, folder, "log", ""); !succeeded(res)) {
         return res;
     }
@@ -274,7 +281,8 @@
     return std::monostate{};
 }
 
-outcome<opened_storage> log_storage::open(const std::string& folder, log_storage& storage)
+outcome<opened_storage> log_storage::open(const std::string& folder, log_storage& storage,
+                                          bool first_start)
 {
     std::error_code ec;
     std::filesystem::create_directories(folder, ec);
@@ -302,11 +310,15 @@
     }
     if (it.incarnation == 0) {
         const std::uint64_t incarnation = random_identity();
-        if (auto res = create_files(storage.files_, folder, incarnation); !succeeded(res)) {
+        // A damaged folder is not one of the first start, whatever the settings say.
+        const bool original = first_start && it.may_form;
+        if (auto res = create_files(storage.files_, folder, incarnation, original);
+            !succeeded(res)) {
             return failure_of(res);
         }
         it.incarnation = incarnation;
     }
+    it.created_at_first_start = std::filesystem::exists(folder + "/" + first_start_file);
     if (auto res = storage.open_log(); !succeeded(res)) {
         return failure_of(res);
     }
--- a/control/log_storage.h
+++ b/control/log_storage.h
@@ -20,6 +20,8 @@
     /// False if the folder held damaged files, now or at an earlier opening. The member must then
     /// join an existing group and must never form a new one.
     bool may_form = true;
+    /// True if the folder was created while the whole site started for the first time.
+    bool created_at_first_start = false;
     /// Why the files of the folder were set aside at this opening; empty if they were not.
     std::string damage;
     /// Bytes of an incomplete record that were removed from the end of the log.
@@ -42,6 +44,7 @@
 
 /// The files of one control member in its data folder:
 ///   incarnation  identity of the data
+///   first_start  present if the folder was created at the first start of the site
 ///   log          a snapshot, then votes and entries, appended as records with checksums
 /// Every write function returns only after the data is synced to disk. After a failure the storage
 /// must be opened again before it is used; what was not synced is then discarded, even if it can be
@@ -50,8 +53,10 @@
 public:
     /// Opens or creates a data folder, and checks that there is room to write. Damaged files are
     /// moved to the subfolder `damaged`, and the folder gets a new incarnation without data. A
-    /// failure leaves the data as it was; the caller tries again later.
-    static outcome<opened_storage> open(const std::string& folder, log_storage& storage);
+    /// failure leaves the data as it was; the caller tries again later. `first_start` says that the
+    /// whole site starts for the first time.
+    static outcome<opened_storage> open(const std::string& folder, log_storage& storage,
+                                        bool first_start = false);
 
     explicit log_storage(file_operations files = system_file_operations())
         : files_(std::move(files))
--- a/control/tests/log_storage_test.cpp
+++ b/control/tests/log_storage_test.cpp
@@ -124,6 +124,22 @@
     }
 }
 
+TEST_CASE("a member that restarts before the first membership counts as one that lost its disk",
+          "[storage]")
+{
+    folder_fixture it;
+    const auto created_at_first_start = [&](bool first_start) {
+        log_storage storage;
+        auto opened = log_storage::open(it.folder, storage, first_start);
+        REQUIRE(succeeded(opened));
+        return value_of(opened).created_at_first_start;
+    };
+    CHECK(created_at_first_start(true));
+    CHECK(created_at_first_start(false));
+    std::filesystem::remove_all(it.folder);
+    CHECK_FALSE(created_at_first_start(false));
+}
+
 TEST_CASE("a snapshot replaces the whole log", "[storage]")
 {
     folder_fixture it;
