--- a/fleet/network_threads.cpp
+++ b/fleet/network_threads.cpp
@@ -5,9 +5,9 @@
 // The linker passes the calls of sysconf() in this program and its static libraries, which nng is
 // one of, to __wrap_sysconf() (--wrap in CMakeLists.txt).
 extern "C" {
-// NOLINTNEXTLINE(bugprone-reserved-identifier, cert-dcl37-c, cert-dcl51-cpp)
+// NOLINTNEXTLINE(bugprone-reserved-identifier, readability-identifier-naming)
 long __real_sysconf(int name);
-// NOLINTNEXTLINE(bugprone-reserved-identifier, cert-dcl37-c, cert-dcl51-cpp)
+// NOLINTNEXTLINE(bugprone-reserved-identifier, readability-identifier-naming)
 long __wrap_sysconf(int name);
 
 long __wrap_sysconf(int name)
--- a/tests/process_start_test.cpp
+++ b/tests/process_start_test.cpp
@@ -72,9 +72,9 @@
     }
 
     /// Called in the child before it runs the program.
-    void on_child(std::function<void()> function)
+    void on_child(const std::function<void()>& function)
     {
-        process_.setChildProcessModifier(std::move(function));
+        process_.setChildProcessModifier(function);
     }
 
     QProcess& process() { return process_; }
