Add members whose membership was replaced or never committed

Its membership lacks the leader of the others, so it asks only members that do not lead; an empty member of a newer term refuses its pre-votes without saying why; and a member that was sent entries before the first membership was committed can neither vote nor count as empty. Change: a voter without a leader sends a hello with each election, as a member without a vote does; a request of an older term is answered with the newer one, pre-vote or not; a leader brings others up to date only once it has committed something in its term.

--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -532,6 +532,9 @@
         return;
     }
     if (now >= state.next_election_at) {
+        // The membership that this member knows may have been replaced, or was never committed: a
+        // leader that does not count it as a voter is asked to add it.
+        send_hello(state, out, now);
         start_election(state, out, true, now);
         count_votes(state, out, now);
     }
@@ -540,7 +543,10 @@
 /// Starts to bring a member without a vote up to date, if this member leads.
 void start_joining(consensus_state& state, const replica_id& from, const std::string& address)
 {
-    if (state.role != consensus_role::leader || contains(state.members, from) || address.empty()) {
+    // Until the first membership is committed, a member that holds a part of this log could neither
+    // vote in it nor count as empty.
+    if (state.role != consensus_role::leader || !committed_in_current_term(state) ||
+        contains(state.members, from) || address.empty()) {
         return;
     }
     const auto found = state.joining.find(from.name);
@@ -592,8 +598,12 @@
     const bool log_up_to_date =
         message.last_term > last_term(state.log) ||
         (message.last_term == last_term(state.log) && message.last_index >= last_index(state.log));
+    if (message.pre_vote && message.term <= state.term) {
+        reply(state, out, from, vote_reply{state.term, false, false});
+        return;
+    }
     if (message.pre_vote) {
-        const bool granted = !has_live_leader && log_up_to_date && message.term > state.term;
+        const bool granted = !has_live_leader && log_up_to_date;
         if (granted) {
             // Leaves the candidate time to ask for the vote itself.
             reset_election_timer(state, now);
@@ -631,7 +641,8 @@
         count_votes(state, out, now);
     }
     else if (!message.pre_vote && message.term > state.term &&
-             state.role == consensus_role::candidate) {
+             (state.role == consensus_role::candidate ||
+              state.role == consensus_role::pre_candidate)) {
         adopt_term(state, out, message.term);
         become_follower(state, out, now);
     }
--- a/core/consensus/consensus_message.h
+++ b/core/consensus/consensus_message.h
@@ -18,8 +18,8 @@
     MSGPACK_DEFINE(term, last_index, last_term, pre_vote)
 };
 
-/// Answers a vote request, with its term. A refused request that was no pre-vote is answered with
-/// the sender's term if that is newer.
+/// Answers a vote request, with its term. A request that is refused because the sender's term is
+/// newer is answered with that term, and not as a pre-vote.
 struct vote_reply {
     std::uint64_t term = 0;
     bool granted = false;
