fleet: dial absent peers rarely, returning ones at once

Seen: with all control members away, each of 84 idle entries woke about 1800 times a second and used 6.5 % of a processor, 5.5 processors in all; sessions and the restarting members competed with that. Cause: attempts to reach an absent peer were made every 0 to 200 ms for good, and the new socket of each overdue dial began again with 20 ms. An attempt wakes about ten threads of nng. Change: the interval of attempts doubles with each dial, up to 500 ms. A peer that sends something after a second of silence is dialled anew with the next message to it, however often it was dialled in vain; that took up to 910 ms more after twelve dials.

--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -25,8 +25,6 @@
 
 constexpr int send_queue_messages = 1024;
 constexpr int receive_queue_messages = 1024;
-constexpr nng_duration reconnect_min_ms = 20;
-constexpr nng_duration reconnect_max_ms = 200;
 constexpr nng_duration receive_timeout_ms = 200;
 
 constexpr std::size_t max_message_bytes = std::size_t{64} * 1024 * 1024;
@@ -55,6 +53,11 @@
     static_cast<std::atomic<bool>*>(established)->store(true);
 }
 
+nng_duration to_nng_duration(duration span)
+{
+    return static_cast<nng_duration>(to_milliseconds(span).count());
+}
+
 std::string url_of(const std::string& address) { return "tcp://" + address; }
 
 void report_failed_connection(const std::string& peer, int ec)
@@ -99,7 +102,7 @@
         const auto peer = shard.sockets.find(it.sender);
         if (peer != shard.sockets.end()) {
             record_confirmation(peer->second.watch, it.received_stamp);
-            peer->second.connecting.heard_at = monotonic_clock::now();
+            record_heard(peer->second.connecting, {}, monotonic_clock::now());
         }
     });
     on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
@@ -124,8 +127,9 @@
         return false;
     }
     nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, send_queue_messages);
-    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
-    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
+    const attempt_interval interval = next_attempt_interval(peer.connecting, {});
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, to_nng_duration(interval.min));
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, to_nng_duration(interval.max));
     nng_pipe_notify(peer.socket, NNG_PIPE_EV_ADD_POST, on_established, peer.established.get());
     const int ec = nng_dial(peer.socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
     if (ec != 0) {
