fleet: give up connections that nobody uses and that do not exist

Seen: a control member that had lost its peers went on to dial all of them, also removed entries that it sent nothing to: 1304 wake-ups a second and 7.1 % of a processor, 17 s after they had gone. Cause: the dialer of nng never ends, and nothing closed its socket. Change: a socket without a connection that was not sent to for 10 s is closed; the next message opens a new one. Test: "a node goes on dialling a peer that was removed" fails with the search disabled (the old message arrives 12 s later: 1 == 0).

--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -29,14 +29,30 @@
 
 constexpr std::size_t max_message_bytes = std::size_t{64} * 1024 * 1024;
 
+/// A connection that is not established and has not been used for this long is given up, as to a VM
+/// that was removed: nng would dial it for good. No protocol of the fleet pauses this long.
+constexpr milliseconds unused_connection_time(10'000);
+
+/// Interval of the search for unused connections.
+constexpr milliseconds unused_search_interval(1000);
+
+/// What threads of nng report of a connection.
+struct connection_state {
+    /// Set once the connection has been established; later losses of it are found by
+    /// delivery_watch.
+    std::atomic<bool> established = false;
+    /// Number of open connections of the socket, 0 or 1.
+    std::atomic<int> open = 0;
+};
+
 /// Outgoing connection to a peer.
 struct peer_socket {
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     delivery_watch watch;
     connect_watch connecting;
-    /// Set by a thread of nng once the connection has been established; later losses of it are
-    /// found by `watch`.
-    std::unique_ptr<std::atomic<bool>> established = std::make_unique<std::atomic<bool>>(false);
+    std::unique_ptr<connection_state> state = std::make_unique<connection_state>();
+    /// When a message was last sent to the peer.
+    time_point used_at{};
 };
 
 /// One shard of what is known of the peers, by their `address:port`.
@@ -48,9 +64,16 @@
     std::set<std::string> short_frame_readers;
 };
 
-void on_established(nng_pipe /*pipe*/, nng_pipe_ev /*event*/, void* established)
+void on_connection_event(nng_pipe /*pipe*/, nng_pipe_ev event, void* state)
 {
-    static_cast<std::atomic<bool>*>(established)->store(true);
+    auto& it = *static_cast<connection_state*>(state);
+    if (event == NNG_PIPE_EV_ADD_POST) {
+        it.established = true;
+        ++it.open;
+    }
+    else {
+        --it.open;
+    }
 }
 
 nng_duration to_nng_duration(duration span)
@@ -77,6 +100,8 @@
 
     void receive_loop();
     void deliver(std::string_view bytes);
+    /// Closes the connections that are unused, see unused_connection_time.
+    void close_unused_peers(time_point now);
     bool reconnect_if_overdue(const std::string& address, peer_socket& peer, time_point now);
     bool open_peer(const std::string& address, peer_socket& peer) const;
 };
@@ -108,9 +133,28 @@
     on_message({static_cast<fleet_channel>(it.channel), std::move(it.sender), std::move(it.body)});
 }
 
+void fleet_node::implementation::close_unused_peers(time_point now)
+{
+    peers.for_each([&](peer_shard& it) {
+        std::erase_if(it.sockets, [&](const auto& peer) {
+            const peer_socket& socket = peer.second;
+            if (socket.state->open > 0 || now - socket.used_at < unused_connection_time) {
+                return false;
+            }
+            nng_close(socket.socket);
+            return true;
+        });
+    });
+}
+
 void fleet_node::implementation::receive_loop()
 {
+    time_point search_at = monotonic_clock::now() + unused_search_interval;
     while (!stopping) {
+        if (const time_point now = monotonic_clock::now(); now >= search_at) {
+            search_at = now + unused_search_interval;
+            close_unused_peers(now);
+        }
         nng_msg* message = nullptr;
         if (nng_recvmsg(listener, &message, 0) != 0) {
             continue;
@@ -130,7 +174,8 @@
     const attempt_interval interval = next_attempt_interval(peer.connecting, {});
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, to_nng_duration(interval.min));
     nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, to_nng_duration(interval.max));
-    nng_pipe_notify(peer.socket, NNG_PIPE_EV_ADD_POST, on_established, peer.established.get());
+    nng_pipe_notify(peer.socket, NNG_PIPE_EV_ADD_POST, on_connection_event, peer.state.get());
+    nng_pipe_notify(peer.socket, NNG_PIPE_EV_REM_POST, on_connection_event, peer.state.get());
     const int ec = nng_dial(peer.socket, url_of(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
     if (ec != 0) {
         report_failed_connection(address, ec);
@@ -146,7 +191,7 @@
 bool fleet_node::implementation::reconnect_if_overdue(const std::string& address, peer_socket& peer,
                                                       time_point now)
 {
-    const bool connecting = !peer.established->load();
+    const bool connecting = !peer.state->established;
     const bool connect_overdue = connecting && is_dial_overdue(peer.connecting, {}, now);
     const bool unconfirmed = is_overdue(peer.watch, now);
     if (!connect_overdue && !unconfirmed) {
@@ -159,7 +204,7 @@
     }
     count_metric("balsamdrift_fleet_reconnects_total");
     nng_close(peer.socket);
-    peer = {.connecting = connecting ? peer.connecting : connect_watch{}};
+    peer = {.connecting = connecting ? peer.connecting : connect_watch{}, .used_at = peer.used_at};
     return open_peer(address, peer);
 }
 
@@ -233,6 +278,7 @@
             found = it.sockets.emplace(address, std::move(peer)).first;
         }
         peer_socket& peer = found->second;
+        peer.used_at = now;
         if (is_overdue(peer.watch, now)) {
             // An older build may have taken the peer's place.
             it.short_frame_readers.erase(address);
--- a/fleet/tests/fleet_node_test.cpp
+++ b/fleet/tests/fleet_node_test.cpp
@@ -193,3 +193,28 @@
     sender.stop();
     peer.stop();
 }
+
+TEST_CASE("a node goes on dialling a peer that was removed", "[fleet]")
+{
+    // Guards against processor time that grows with every VM that a site has lost.
+    std::atomic<int> received = 0;
+    fleet_node sender({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(sender.start([](const fleet_message&) {})));
+    std::uint16_t port = 0;
+    {
+        unresponsive_port removed;
+        port = removed.port();
+    }
+    const std::string address = "127.0.0.1:" + std::to_string(port);
+    sender.send(address, fleet_channel::lease, "the last message");
+    process_events_for(milliseconds(11'500));
+    fleet_node later({.listen = {"127.0.0.1", port}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(later.start([&](const fleet_message&) { ++received; })));
+    process_events_for(milliseconds(1000));
+    CHECK(received == 0);
+    sender.send(address, fleet_channel::lease, "a new message");
+    process_events_for(milliseconds(1000));
+    CHECK(received == 1);
+    sender.stop();
+    later.stop();
+}
