apps: wait for signals instead of polling for them

Seen: an idle entry of a healthy site of 5 + 3 woke 192 times a second, 100 of these for a timer that looked for signals. Change: the signal handlers write to a descriptor that the event loop watches; the steps of a stop run every 10 ms once it is requested. The turns that the loop watch measures come every 100 ms. Guarded by the tests of stops and reloads in command_line and site.

--- a/apps/balsamdrift.cpp
+++ b/apps/balsamdrift.cpp
@@ -1,6 +1,7 @@
 #include <gflags/gflags.h>
 
 #include <QCoreApplication>
+#include <QSocketNotifier>
 #include <QTimer>
 #include <cstdio>
 #include <cstdlib>
@@ -26,6 +27,7 @@
 
 using namespace balsamdrift;
 
+/// Interval of the periodic work of an entry that owns items, and of the steps of a stop.
 constexpr milliseconds tick_interval(10);
 
 /// Longer than it takes to replace a file, also where a machine is busy.
@@ -36,6 +38,14 @@
 /// the log and the fleet, and some to spare.
 constexpr std::size_t start_threads = 16;
 
+/// Interval of the turns by which the delay of the event loop is measured. Delays are found from
+/// this much above the reported length on.
+constexpr milliseconds watch_interval(100);
+
+/// Interval of the checks for signals if no descriptor announces them. A stop or a reload may take
+/// this much longer.
+constexpr milliseconds signal_poll_interval(100);
+
 int to_int(exit_code code) { return static_cast<int>(code); }
 
 /// Prints the listening addresses to standard output, where the process that started this one reads
@@ -96,7 +106,7 @@
 /// Records a turn of the event loop and reports it if it came late.
 void watch_loop(loop_watch& watch)
 {
-    const auto late = record_turn(watch, {.interval = tick_interval}, monotonic_clock::now(),
+    const auto late = record_turn(watch, {.interval = watch_interval}, monotonic_clock::now(),
                                   process_processor_time());
     if (late) {
         log_event(event_id::event_loop_delayed,
@@ -106,22 +116,44 @@
     }
 }
 
-/// Runs the event loop until `is_done` returns true; it is called every `tick_interval`. Reads the
-/// settings again on request.
-void run_events(const std::function<bool()>& is_done)
+/// Runs the event loop until `is_stopped` returns true. It is called every `tick_interval` once a
+/// stop has been requested, not before. Reads the settings again on request.
+void run_events(const std::function<bool()>& is_stopped)
 {
-    QTimer timer;
+    QTimer watch_timer;
+    QTimer stop_timer;
     loop_watch watch;
-    QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
-        watch_loop(watch);
+    QObject::connect(&watch_timer, &QTimer::timeout, &watch_timer, [&] { watch_loop(watch); });
+    QObject::connect(&stop_timer, &QTimer::timeout, &stop_timer, [&] {
+        if (is_stopped()) {
+            QCoreApplication::quit();
+        }
+    });
+    const auto check_signals = [&] {
         if (take_reload_request()) {
             reload(FLAGS_settings);
         }
-        if (is_done()) {
-            QCoreApplication::quit();
+        if (stop_requested() && !stop_timer.isActive()) {
+            stop_timer.start(tick_interval);
         }
-    });
-    timer.start(tick_interval);
+    };
+    const int signal_descriptor = open_signal_notice();
+    std::unique_ptr<QSocketNotifier> notifier;
+    QTimer poll_timer;
+    if (signal_descriptor >= 0) {
+        notifier = std::make_unique<QSocketNotifier>(signal_descriptor, QSocketNotifier::Read);
+        QObject::connect(notifier.get(), &QSocketNotifier::activated, notifier.get(), [&] {
+            clear_signal_notice(signal_descriptor);
+            check_signals();
+        });
+    }
+    else {
+        QObject::connect(&poll_timer, &QTimer::timeout, &poll_timer, check_signals);
+        poll_timer.start(signal_poll_interval);
+    }
+    // A request may have come before the descriptor was opened.
+    check_signals();
+    watch_timer.start(watch_interval);
     QCoreApplication::exec();
 }
 
@@ -235,10 +267,11 @@
     report_ready("callers=" + to_string(value_of(started).callers) +
                  " platform=" + to_string(value_of(started).platform));
     entry_shutdown stop(*entry, settings);
-    run_events([&] {
-        entry->tick();
-        return stop_requested() && stop.advance(monotonic_clock::now());
-    });
+    QTimer timer;
+    QObject::connect(&timer, &QTimer::timeout, &timer, [&] { entry->tick(); });
+    timer.start(tick_interval);
+    run_events([&] { return stop.advance(monotonic_clock::now()); });
+    timer.stop();
     entry->stop();
     receiver = nullptr;
     fleet.stop();
@@ -270,10 +303,8 @@
     log_event(event_id::process_started, {{"role", "statement_entry"}});
     report_ready("callers=" + to_string(value_of(started)));
     stop_progress progress;
-    run_events([&] {
-        return stop_requested() &&
-               advance_stop(entry, settings.stop, progress, monotonic_clock::now());
-    });
+    run_events(
+        [&] { return advance_stop(entry, settings.stop, progress, monotonic_clock::now()); });
     entry.stop();
     receiver = nullptr;
     fleet.stop();
--- a/apps/stop_signal.cpp
+++ b/apps/stop_signal.cpp
@@ -1,13 +1,19 @@
 #include "apps/stop_signal.h"
 
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <atomic>
+#include <cerrno>
 #include <csignal>
+#include <cstdint>
 
 namespace balsamdrift {
 namespace {
 
 std::atomic<bool> stop_flag = false;
 std::atomic<bool> reload_flag = false;
+std::atomic<int> notice_descriptor = -1;
 
 void on_signal(int number)
 {
@@ -17,6 +23,11 @@
     else {
         stop_flag = true;
     }
+    // The interrupted code may be about to read errno.
+    const int ec = errno;
+    const std::uint64_t one = 1;
+    (void)!::write(notice_descriptor, &one, sizeof one);
+    errno = ec;
 }
 
 }  // namespace
@@ -31,6 +42,18 @@
     std::signal(SIGXFSZ, SIG_IGN);
 }
 
+int open_signal_notice()
+{
+    notice_descriptor = ::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    return notice_descriptor;
+}
+
+void clear_signal_notice(int descriptor)
+{
+    std::uint64_t count = 0;
+    (void)!::read(descriptor, &count, sizeof count);
+}
+
 bool stop_requested() { return stop_flag; }
 
 bool take_reload_request() { return reload_flag.exchange(false); }
