control: tick when something is due

Seen: a control member that follows woke 100 times a second for its ticks; its next election is several hundred milliseconds away. Change: a single-shot timer is set to the next election, hello or update of the status, and is brought forward by messages and submissions. A leader, a member with submissions and one that waits for its data folder tick every 10 ms as before, so nothing is later than it was.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -18,6 +18,8 @@
 namespace balsamdrift {
 namespace {
 
+/// Interval of ticks while the member leads, passes on submissions or waits for its data folder;
+/// otherwise the shortest one.
 constexpr milliseconds tick_interval(10);
 constexpr milliseconds assign_interval(50);
 
@@ -75,6 +77,7 @@
 {
     connect(&timer_, &QTimer::timeout, this, &control_service::on_tick);
     timer_.setTimerType(Qt::PreciseTimer);
+    timer_.setSingleShot(true);
 }
 
 control_service::~control_service() = default;
@@ -88,8 +91,8 @@
         // The disk may be full for now. A process that ended would only start again.
         handle_storage_failure(failure_of(res).message);
     }
-    timer_.start(tick_interval);
     publish_status();
+    schedule_tick();
     return std::monostate{};
 }
 
@@ -103,14 +106,15 @@
 {
     if (!consensus_) {
         receive_without_storage(message);
-        return;
     }
-    if (message.channel == fleet_channel::consensus) {
+    else if (message.channel == fleet_channel::consensus) {
         on_consensus(message);
     }
     else if (message.channel == fleet_channel::lease) {
         on_lease(message);
     }
+    // The message may have brought the next election forward or made this member the leader.
+    schedule_tick();
 }
 
 void control_service::on_consensus(const fleet_message& message)
@@ -730,18 +734,36 @@
 
 void control_service::on_tick()
 {
+    tick_at_ = {};
     check_submissions(monotonic_clock::now());
     if (!consensus_) {
         reopen_storage(monotonic_clock::now());
-        return;
     }
-    run_step(clock_ticked{});
-    if (consensus_) {
-        run_leader_tasks();
-        compact_log();
+    else {
+        run_step(clock_ticked{});
+        if (consensus_) {
+            run_leader_tasks();
+            compact_log();
+        }
+        if (monotonic_clock::now() >= next_publish_at_) {
+            publish_status();
+        }
     }
-    if (monotonic_clock::now() >= next_publish_at_) {
-        publish_status();
+    schedule_tick();
+}
+
+void control_service::schedule_tick()
+{
+    const time_point now = monotonic_clock::now();
+    const bool busy =
+        !consensus_ || consensus_->role == consensus_role::leader || !submissions_.empty();
+    time_point due = now + tick_interval;
+    if (!busy) {
+        due = std::max(due, std::min(next_tick_at(*consensus_, now), next_publish_at_));
+    }
+    if (tick_at_ == time_point{} || due < tick_at_) {
+        tick_at_ = due;
+        timer_.start(to_milliseconds(due - now));
     }
 }
 
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -137,6 +137,8 @@
 
     outcome<std::monostate> open_storage();
     void on_tick();
+    /// Sets the timer to the time when on_tick() has something to do next.
+    void schedule_tick();
     void on_message(const fleet_message& message);
     void on_consensus(const fleet_message& message);
     void on_lease(const fleet_message& message);
@@ -282,6 +284,8 @@
     /// No snapshot is saved before this time.
     time_point next_compaction_at_{};
     QTimer timer_{this};
+    /// When `timer_` calls on_tick().
+    time_point tick_at_{};
 
     /// Guards `status_`.
     mutable std::mutex status_mutex_;
--- a/control/control_service_submissions.cpp
+++ b/control/control_service_submissions.cpp
@@ -55,6 +55,7 @@
                                                          .deadline = now + submission_timeout})
                                  .first->second;
             dispatch_submission(id, it, now);
+            schedule_tick();
         },
         Qt::QueuedConnection);
 }
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -875,6 +875,19 @@
     return out;
 }
 
+time_point next_tick_at(const consensus_state& state, time_point now)
+{
+    if (state.role == consensus_role::leader) {
+        return state.next_heartbeat_at;
+    }
+    if (is_voter(state)) {
+        return state.next_election_at;
+    }
+    // A member without a vote that follows a leader sends no hello and looks again after the time
+    // in which the leader's next heartbeat is due.
+    return state.next_hello_at > now ? state.next_hello_at : now + state.options.heartbeat_interval;
+}
+
 bool holds_leadership(const consensus_state& state, time_point now)
 {
     if (state.role != consensus_role::leader || !committed_in_current_term(state) ||
--- a/core/consensus/consensus.h
+++ b/core/consensus/consensus.h
@@ -17,6 +17,9 @@
 std::vector<consensus_action> step(consensus_state& state, const consensus_event& event,
                                    time_point now);
 
+/// When `clock_ticked` is due next, unless another event comes first.
+time_point next_tick_at(const consensus_state& state, time_point now);
+
 /// True while this member leads and no other member can: a quorum answered appends sent within the
 /// last election timeout, shortened by the possible clock drift, and an entry of this term is
 /// committed, so that the applied registry is the newest one.
