fleet, entry: keep connections whose last message needs no answer

Cause: an entry that cannot reach control sends its requests to two others. These had no way to control either and said nothing, so that the sender took each connection for broken after a second. Hints to the leader have the same fault. Change: an entry that cannot pass a request on answers that it knows no leader, which confirms the request; older builds read it as well. Such refusals and the hints of control members are not watched for a confirmation themselves. Grants still are, so that a connection that is silent in one direction is found as before.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -353,7 +353,9 @@
 
 void control_service::send_leader_hint(const std::string& address)
 {
-    send_message(address, not_leader{leader_address()});
+    // The entry goes on with the leader.
+    fleet_.send(address, fleet_channel::lease,
+                encode_variant(lease_message(not_leader{leader_address()})), reply_expected::no);
 }
 
 void control_service::process_lease_request(const lease_request& it, const std::string& sender,
--- a/entry/lease_client.cpp
+++ b/entry/lease_client.cpp
@@ -188,6 +188,12 @@
     if (has_control_contact()) {
         send(upstream_, relayed_lease_request{sender, request});
     }
+    else {
+        // Without any answer, the sender would take the connection between the two for broken. It
+        // asks other entries next.
+        fleet_.send(sender, fleet_channel::lease, encode_variant(lease_message(not_leader{})),
+                    reply_expected::no);
+    }
 }
 
 bool lease_client::has_control_contact() const
--- a/entry/tests/lease_client_test.cpp
+++ b/entry/tests/lease_client_test.cpp
@@ -226,3 +226,22 @@
     CHECK(leader.renewals() == renewals);
     CHECK(leader.full_requests() > 3);
 }
+
+TEST_CASE("entries replace their connections to each other while control is away", "[lease]")
+{
+    // Guards against connections that are opened anew every second, between all entries of a site.
+    fake_entry entry("e1", "127.0.0.1:1");
+    entry.start();
+    std::atomic<int> answers = 0;
+    fleet_node other({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(other.start([&](const fleet_message&) { ++answers; })));
+    lease_request request{.entry = "e2"};
+    request.record = {.incarnation = 2, .address = other.address()};
+    const time_point end = monotonic_clock::now() + milliseconds(1000);
+    while (answers == 0 && monotonic_clock::now() < end) {
+        other.send(entry.address(), fleet_channel::lease, encode_variant(lease_message(request)));
+        run_events(milliseconds(100));
+    }
+    CHECK(answers > 0);
+    other.stop();
+}
--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -265,7 +265,8 @@
     });
 }
 
-void fleet_node::send(const std::string& address, fleet_channel channel, std::string body)
+void fleet_node::send(const std::string& address, fleet_channel channel, std::string body,
+                      reply_expected reply)
 {
     const time_point now = monotonic_clock::now();
     impl_->peers.with(address, [&](peer_shard& it) {
@@ -298,7 +299,12 @@
         std::string bytes =
             encode_frame(frame, it.short_frame_readers.contains(address), impl_->options.secret);
         count_message(traffic_direction::sent, channel, frame.body, bytes.size());
-        record_sent(peer.watch, {}, frame.stamp, bytes.size(), now);
+        if (reply == reply_expected::yes) {
+            record_sent(peer.watch, {}, frame.stamp, bytes.size(), now);
+        }
+        else {
+            peer.watch.bytes_behind += bytes.size();
+        }
         // The message is dropped if the queue is full; every protocol repeats its messages if it
         // needs them delivered.
         (void)nng_send(peer.socket, bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
--- a/fleet/fleet_node.h
+++ b/fleet/fleet_node.h
@@ -20,6 +20,14 @@
     std::string secret;
 };
 
+/// Whether the peer sends something in reply to a message, soon, whatever it thinks of it.
+enum class reply_expected {
+    /// The connection is replaced if nothing comes that confirms the message.
+    yes,
+    /// The message ends an exchange; a lack of replies says nothing about the connection.
+    no,
+};
+
 /// Sends and receives one-way messages between processes of the system over nng. send() may be
 /// called from any thread.
 class fleet_node {
@@ -41,7 +49,8 @@
 
     /// Queues a message without blocking. Messages to a process that cannot be reached are dropped
     /// once the queue to it is full.
-    void send(const std::string& address, fleet_channel channel, std::string body);
+    void send(const std::string& address, fleet_channel channel, std::string body,
+              reply_expected reply = reply_expected::yes);
 
     /// `address:port` at which other processes reach this one; valid after start().
     std::string address() const;
--- a/fleet/tests/fleet_node_test.cpp
+++ b/fleet/tests/fleet_node_test.cpp
@@ -218,3 +218,24 @@
     sender.stop();
     later.stop();
 }
+
+TEST_CASE("a connection is replaced because its last message needed no answer", "[fleet]")
+{
+    // Guards against connections between entries that are opened anew every second while control
+    // is away, and against hints to the leader that take a new connection each.
+    std::atomic<int> received = 0;
+    fleet_node receiver({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    auto listen_endpoint = receiver.start([&](const fleet_message&) { ++received; });
+    REQUIRE(succeeded(listen_endpoint));
+    stalling_proxy proxy(value_of(listen_endpoint).port);
+    fleet_node sender({.listen = {"127.0.0.1", 0}, .secret = "secret-of-the-test"});
+    REQUIRE(succeeded(sender.start([](const fleet_message&) {})));
+    for (int n = 0; n < 4; ++n) {
+        sender.send(proxy.address(), fleet_channel::lease, "no, ask another", reply_expected::no);
+        process_events_for(milliseconds(700));
+    }
+    CHECK(received == 4);
+    CHECK(proxy.accepted_count() == 1);
+    sender.stop();
+    receiver.stop();
+}
