--- a/tests/command_line_test.cpp
+++ b/tests/command_line_test.cpp
@@ -1,5 +1,6 @@
 #include <QProcess>
 #include <QTemporaryDir>
+#include <QThread>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <string>
@@ -75,6 +76,43 @@
     CHECK(res.exit_code == 69);
 }
 
+TEST_CASE("an idle control member whose peers are away wakes a hundred times a second",
+          "[command_line]")
+{
+    // Guards against leases that run out where a machine has more idle processes than processors.
+    QTemporaryDir folder;
+    const std::string base = folder.path().toStdString();
+    std::ofstream(base + "/secret") << "a secret of sixteen bytes\n";
+    std::ofstream(base + "/c.yaml") << "role: control\nname: c\ndata_folder: " << base
+                                    << "/data\noperator_token_file: secret\n"
+                                       "fleet: {listen: \"127.0.0.1:0\", secret_file: secret}\n"
+                                       "operators: {listen: \"127.0.0.1:0\"}\n"
+                                       "control:\n  members: [{name: c, address: \"127.0.0.1:3\"}, "
+                                       "{name: d, address: \"127.0.0.1:1\"}, "
+                                       "{name: e, address: \"127.0.0.1:2\"}]\n";
+    QProcess process;
+    process.start(QString::fromStdString(std::string(BALSAMDRIFT_BINARIES) + "/balsamdrift"),
+                  {"--settings", QString::fromStdString(base + "/c.yaml")});
+    REQUIRE(process.waitForReadyRead(20'000));
+    const auto count_wake_ups = [&] {
+        std::ifstream status("/proc/" + std::to_string(process.processId()) + "/status");
+        const std::string name = "voluntary_ctxt_switches:";
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with(name)) {
+                return std::stol(line.substr(name.size()));
+            }
+        }
+        return -1L;
+    };
+    const long before = count_wake_ups();
+    REQUIRE(before >= 0);
+    QThread::msleep(2000);
+    CHECK(count_wake_ups() - before < 2 * 60);
+    process.terminate();
+    REQUIRE(process.waitForFinished(10'000));
+    CHECK(process.exitCode() == 0);
+}
+
 TEST_CASE("wrong command lines exit with code 64 and help is printed", "[command_line]")
 {
     CHECK(run("balsamdrift", {}).exit_code == 64);
