fleet: keep the state of closed connections until nng cannot report on them

Threads of nng report opened and lost connections through a pointer to the state of a peer, which was freed right after the socket was closed. Whether nng waits for such a report before it returns is not documented; a late one would write to freed memory. The states of the last 256 closed connections of a shard are kept. Not seen to fail: a precaution, found by reading.

--- a/fleet/fleet_node.cpp
+++ b/fleet/fleet_node.cpp
@@ -5,6 +5,7 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,10 @@
 /// that was removed: nng would dial it for good. No protocol of the fleet pauses this long.
 constexpr milliseconds unused_connection_time(10'000);
 
+/// Number of closed connections of a shard whose state is kept, since threads of nng may still
+/// report on them. Their last reports come within milliseconds.
+constexpr std::size_t max_retired_states = 256;
+
 /// Interval of the search for unused connections.
 constexpr milliseconds unused_search_interval(1000);
 
@@ -58,12 +63,24 @@
 /// One shard of what is known of the peers, by their `address:port`.
 struct peer_shard {
     std::map<std::string, peer_socket> sockets;
+    /// States of closed connections.
+    std::deque<std::unique_ptr<connection_state>> retired_states;
     /// Stamp of the newest frame that was received from each peer.
     std::map<std::string, std::uint64_t> received_stamps;
     /// Peers whose newest frame said that they read short frames.
     std::set<std::string> short_frame_readers;
 };
 
+/// Closes the connection of a peer and keeps its state for a while.
+void close_peer(peer_shard& shard, peer_socket& peer)
+{
+    nng_close(peer.socket);
+    shard.retired_states.push_back(std::move(peer.state));
+    if (shard.retired_states.size() > max_retired_states) {
+        shard.retired_states.pop_front();
+    }
+}
+
 void on_connection_event(nng_pipe /*pipe*/, nng_pipe_ev event, void* state)
 {
     auto& it = *static_cast<connection_state*>(state);
@@ -102,7 +119,8 @@
     void deliver(std::string_view bytes);
     /// Closes the connections that are unused, see unused_connection_time.
     void close_unused_peers(time_point now);
-    bool reconnect_if_overdue(const std::string& address, peer_socket& peer, time_point now);
+    bool reconnect_if_overdue(const std::string& address, peer_shard& shard, peer_socket& peer,
+                              time_point now);
     bool open_peer(const std::string& address, peer_socket& peer) const;
 };
 
@@ -136,14 +154,15 @@
 void fleet_node::implementation::close_unused_peers(time_point now)
 {
     peers.for_each([&](peer_shard& it) {
-        std::erase_if(it.sockets, [&](const auto& peer) {
-            const peer_socket& socket = peer.second;
+        for (auto peer = it.sockets.begin(); peer != it.sockets.end();) {
+            peer_socket& socket = peer->second;
             if (socket.state->open > 0 || now - socket.used_at < unused_connection_time) {
-                return false;
+                ++peer;
+                continue;
             }
-            nng_close(socket.socket);
-            return true;
-        });
+            close_peer(it, socket);
+            peer = it.sockets.erase(peer);
+        }
     });
 }
 
@@ -188,8 +207,8 @@
 
 /// Replaces the connection if it is not established in time or the peer does not confirm what was
 /// sent over it. Returns false if no new connection can be opened.
-bool fleet_node::implementation::reconnect_if_overdue(const std::string& address, peer_socket& peer,
-                                                      time_point now)
+bool fleet_node::implementation::reconnect_if_overdue(const std::string& address, peer_shard& shard,
+                                                      peer_socket& peer, time_point now)
 {
     const bool connecting = !peer.state->established;
     const bool connect_overdue = connecting && is_dial_overdue(peer.connecting, {}, now);
@@ -203,7 +222,7 @@
                    {"waited_ms", milliseconds_text(now - peer.watch.watched->sent_at)}});
     }
     count_metric("balsamdrift_fleet_reconnects_total");
-    nng_close(peer.socket);
+    close_peer(shard, peer);
     peer = {.connecting = connecting ? peer.connecting : connect_watch{}, .used_at = peer.used_at};
     return open_peer(address, peer);
 }
@@ -258,8 +277,8 @@
     impl_->receive_thread.join();
     nng_close(impl_->listener);
     impl_->peers.for_each([](peer_shard& it) {
-        for (const auto& [address, peer] : it.sockets) {
-            nng_close(peer.socket);
+        for (auto& [address, peer] : it.sockets) {
+            close_peer(it, peer);
         }
         it.sockets.clear();
     });
@@ -284,7 +303,7 @@
             // An older build may have taken the peer's place.
             it.short_frame_readers.erase(address);
         }
-        if (!impl_->reconnect_if_overdue(address, peer, now)) {
+        if (!impl_->reconnect_if_overdue(address, it, peer, now)) {
             it.sockets.erase(found);
             return;
         }
