--- a/entry/statement_entry.cpp
+++ b/entry/statement_entry.cpp
@@ -96,7 +96,8 @@
     }
     isolated_ = !step.ready;
     if (step.end_sessions_opened_before) {
-        sessions_.end_idle_sessions(options_.sessions.min_idle_time, *step.end_sessions_opened_before);
+        sessions_.end_idle_sessions(options_.sessions.min_idle_time,
+                                    *step.end_sessions_opened_before);
     }
     const milliseconds interval = sessions_.is_answering() ? tick_interval : idle_tick_interval;
     if (timer_.intervalAsDuration() != interval) {
@@ -113,7 +114,10 @@
     lease_->drain();
 }
 
-void statement_entry::end_idle_sessions() { sessions_.end_idle_sessions(options_.sessions.min_idle_time); }
+void statement_entry::end_idle_sessions()
+{
+    sessions_.end_idle_sessions(options_.sessions.min_idle_time);
+}
 
 void statement_entry::stop()
 {
