Form the membership past a seed that answered once and vanished

A lower address stayed the coordinator for good, and the first membership, which counted that seed, was committed only on as many disks as a command must be on, so the seed could not be replaced either. Change: what a seed answered expires after an election timeout; before the first command a quorum commits, as nothing is acknowledged yet; whether the seeds suffice is checked again when the votes are in; a member that follows a leader forms nothing.

--- a/base/event.cpp
+++ b/base/event.cpp
@@ -31,7 +31,7 @@
          "The operating system gives the process no threads yet; it tries again until "
          "`start_limit`."},
         {event_id::formation_completed, "formation_completed", info,
-         "All control members started without data and agreed on the initial membership."},
+         "Seeds without data agreed on the initial membership; this member formed it."},
         {event_id::election_started, "election_started", info,
          "The control member requests votes from the other members."},
         {event_id::leader_elected, "leader_elected", info,
--- a/core/consensus/consensus.cpp
+++ b/core/consensus/consensus.cpp
@@ -170,24 +170,34 @@
     return state.options.seeds.size() / 2 + 1;
 }
 
+/// True once the log holds a command or a snapshot of commands.
+bool has_commands(const consensus_state& state)
+{
+    const auto& entries = state.log.entries;
+    return state.log.snapshot.index > 0 ||
+           std::any_of(entries.begin(), entries.end(),
+                       [](const log_entry& it) { return it.kind == entry_kind::command; });
+}
+
 /// False while a membership that was formed without all seeds has too few voters to keep a command
 /// on as many disks as it must be on.
 bool has_voters_for_commands(const consensus_state& state)
 {
     const std::size_t needed =
         std::min(state.options.min_commit_copies, state.options.seeds.size());
-    const auto& entries = state.log.entries;
-    return state.members.voters.size() >= needed || state.log.snapshot.index > 0 ||
-           std::any_of(entries.begin(), entries.end(),
-                       [](const log_entry& it) { return it.kind == entry_kind::command; });
+    return state.members.voters.size() >= needed || has_commands(state);
 }
 
-/// Voters that must have saved an entry before it is committed.
+/// Voters that must have saved an entry before it is committed. Before the first command, a quorum
+/// suffices: nothing is acknowledged yet, and a voter that was lost while the membership was formed
+/// can only be replaced once the membership is committed.
 std::size_t commit_quorum(const consensus_state& state)
 {
-    const std::size_t copies =
-        std::min(state.options.min_commit_copies, state.members.voters.size());
-    return std::max(quorum_size(state.members), copies);
+    const std::size_t quorum = quorum_size(state.members);
+    if (!has_commands(state)) {
+        return quorum;
+    }
+    return std::max(quorum, std::min(state.options.min_commit_copies, state.members.voters.size()));
 }
 
 /// The highest index that a commit quorum of the membership in use has saved.
@@ -333,7 +343,7 @@
     std::vector<voter> others;
     others.reserve(state.empty_members.size());
     for (const auto& [name, it] : state.empty_members) {
-        others.push_back(it);
+        others.push_back(it.identity);
     }
     return others;
 }
@@ -352,6 +362,21 @@
     return static_cast<std::size_t>(n) >= seed_quorum_size(state);
 }
 
+/// True when the other seeds that are empty suffice for the first membership. All of them do.
+/// Without all, a quorum of the membership must be a quorum of the seeds too, so that the log of a
+/// second formation cannot be committed beside that of the first one.
+bool may_form_membership(const consensus_state& state, time_point now)
+{
+    const std::size_t seeds = state.options.seeds.size();
+    const std::size_t empty = state.empty_members.size() + 1;
+    if (empty == seeds) {
+        return true;
+    }
+    const bool waited = now - state.started_at >= state.options.formation_patience;
+    return state.options.form_without_all_seeds && waited &&
+           empty / 2 + 1 >= seed_quorum_size(state);
+}
+
 void start_election(consensus_state& state, actions& out, bool pre_vote, time_point now)
 {
     state.role = pre_vote ? consensus_role::pre_candidate : consensus_role::candidate;
@@ -375,7 +400,7 @@
 {
     membership members{{voter{state.options.self, state.options.address}}};
     for (const auto& [name, it] : state.empty_members) {
-        members.voters.push_back(it);
+        members.voters.push_back(it.identity);
     }
     append_to_own_log(state, out,
                       {log_entry{.kind = entry_kind::membership, .data = encode(members)}});
@@ -397,6 +422,9 @@
     }
     else if (state.role == consensus_role::candidate) {
         if (state.members.voters.empty()) {
+            if (!may_form_membership(state, now)) {
+                return;
+            }
             append_first_membership(state, out);
         }
         become_leader(state, out, now);
@@ -477,21 +505,6 @@
                        [&](const voter& it) { return it.address == address; });
 }
 
-/// True when the other seeds that are empty suffice for the first membership. All of them do.
-/// Without all, a quorum of the membership must be a quorum of the seeds too, so that the log of a
-/// second formation cannot be committed beside that of the first one.
-bool may_form_membership(const consensus_state& state, time_point now)
-{
-    const std::size_t seeds = state.options.seeds.size();
-    const std::size_t empty = state.empty_members.size() + 1;
-    if (empty == seeds) {
-        return true;
-    }
-    const bool waited = now - state.started_at >= state.options.formation_patience;
-    return state.options.form_without_all_seeds && waited &&
-           empty / 2 + 1 >= seed_quorum_size(state);
-}
-
 /// True when this member is the seed that forms the first membership: the one with the lowest
 /// address of those that are known to be empty.
 bool is_formation_coordinator(const consensus_state& state, time_point now)
@@ -499,7 +512,7 @@
     const std::string& own = state.options.address;
     return is_seed(state, own) && may_form_membership(state, now) &&
            std::all_of(state.empty_members.begin(), state.empty_members.end(),
-                       [&](const auto& it) { return own <= it.second.address; });
+                       [&](const auto& it) { return own <= it.second.identity.address; });
 }
 
 /// Asks the empty seeds for their votes if this member is the coordinator. A seed votes once in a
@@ -507,9 +520,14 @@
 /// committed.
 void try_formation(consensus_state& state, actions& out, time_point now)
 {
+    // A seed that answers no more does not hold the others up.
+    std::erase_if(state.empty_members, [&](const auto& it) {
+        return now - it.second.answered_at > state.options.election_timeout;
+    });
     const bool waits_for_votes =
         state.role == consensus_role::candidate && now < state.next_election_at;
-    if (!is_empty(state) || waits_for_votes || !is_formation_coordinator(state, now)) {
+    const bool follows = state.leader && may_have_leader(state, now);
+    if (!is_empty(state) || follows || waits_for_votes || !is_formation_coordinator(state, now)) {
         return;
     }
     start_election(state, out, false, now);
@@ -577,7 +595,7 @@
         state.empty_members.erase(from.name);
         return;
     }
-    state.empty_members[from.name] = voter{from, message.address};
+    state.empty_members[from.name] = {voter{from, message.address}, now};
     try_formation(state, out, now);
 }
 
--- a/core/consensus/consensus_state.h
+++ b/core/consensus/consensus_state.h
@@ -68,6 +68,12 @@
     replication_progress progress;
 };
 
+/// A seed that has answered that it holds no data.
+struct empty_member {
+    voter identity;
+    time_point answered_at{};
+};
+
 /// State of one control member. Changed only by step().
 struct consensus_state {
     consensus_options options;
@@ -113,10 +119,10 @@
     /// Address of the leader that another member named last. It gets a hello too if it is no seed.
     std::string leader_hint;
 
-    /// Formation of the first membership: the nonce of this process, and the seeds that answered it
-    /// as empty, by name.
+    /// Formation of the first membership: the nonce of this process, and the seeds that last
+    /// answered it as empty, by name.
     std::uint64_t hello_nonce = 0;
-    std::map<std::string, voter> empty_members;
+    std::map<std::string, empty_member> empty_members;
     time_point next_hello_at{};
 
     random_engine random;
--- a/core/tests/consensus_test.cpp
+++ b/core/tests/consensus_test.cpp
@@ -211,6 +211,32 @@
     }
 }
 
+TEST_CASE("a seed that is lost while the membership is formed holds up the others", "[consensus]")
+{
+    // Guards against a site that stays out of service because a seed answered once and vanished.
+    for (const char* victim : {"a", "b", "c"}) {
+        for (int ms = 5; ms <= 200; ms += 5) {
+            const bool replaced = ms % 10 == 0;
+            INFO(victim << " is lost after " << ms << " ms, disk lost: " << replaced);
+            consensus_fixture cluster(
+                {"a", "b", "c", "d", "e"}, static_cast<std::uint64_t>(ms),
+                {.seeds = 3, .disks_lost_at_once = 2, .form_without_all_seeds = true});
+            cluster.run(milliseconds(ms));
+            cluster.stop(victim);
+            if (replaced) {
+                cluster.run(milliseconds(300));
+                cluster.wipe_disk(victim);
+                cluster.start(victim);
+            }
+            cluster.run(seconds(9));
+            REQUIRE(cluster.leader());
+            cluster.propose(*cluster.leader(), "x");
+            cluster.run(milliseconds(500));
+            CHECK(cluster.applied("d") == std::vector<std::string>{"x"});
+        }
+    }
+}
+
 TEST_CASE("a membership of two seeds keeps a command on fewer disks than may be lost",
           "[consensus]")
 {
