--- a/core/tests/consensus_test.cpp
+++ b/core/tests/consensus_test.cpp
@@ -31,6 +31,22 @@
     return cluster;
 }
 
+/// Checks that at most one member leads and that no member has applied another list of commands
+/// than `committed`, which is extended by what any of them has applied.
+void check_agreement(consensus_fixture& cluster, const std::vector<std::string>& names,
+                     std::vector<std::string>& committed)
+{
+    RC_ASSERT(cluster.count_leaders() <= 1);
+    for (const std::string& it : names) {
+        const auto& applied = cluster.applied(it);
+        const std::size_t common_length = std::min(applied.size(), committed.size());
+        RC_ASSERT(std::equal(applied.begin(), applied.begin() + common_length, committed.begin()));
+        if (applied.size() > committed.size()) {
+            committed = applied;
+        }
+    }
+}
+
 }  // namespace
 
 TEST_CASE("three empty members form a membership and commit a command", "[consensus]")
@@ -303,18 +319,7 @@
                                    .stopped_at_start = {names.begin(), names.end()}});
         std::vector<std::string> committed;
         int next = 0;
-        const auto compare = [&] {
-            RC_ASSERT(cluster.count_leaders() <= 1);
-            for (const std::string& it : names) {
-                const auto& applied = cluster.applied(it);
-                const std::size_t common_length = std::min(applied.size(), committed.size());
-                RC_ASSERT(std::equal(applied.begin(), applied.begin() + common_length,
-                                     committed.begin()));
-                if (applied.size() > committed.size()) {
-                    committed = applied;
-                }
-            }
-        };
+        const auto compare = [&] { check_agreement(cluster, names, committed); };
         // Seeds start, stop, freeze and are cut off while the membership is formed.
         for (const int fault : faults) {
             const std::string& victim = names[static_cast<std::size_t>(fault) % 5];
@@ -466,18 +471,7 @@
         cluster.run(seconds(3));
         std::vector<std::string> committed;
         int next = 0;
-        const auto compare = [&] {
-            RC_ASSERT(cluster.count_leaders() <= 1);
-            for (const std::string& it : three_members) {
-                const auto& applied = cluster.applied(it);
-                const std::size_t common_length = std::min(applied.size(), committed.size());
-                RC_ASSERT(std::equal(applied.begin(), applied.begin() + common_length,
-                                     committed.begin()));
-                if (applied.size() > committed.size()) {
-                    committed = applied;
-                }
-            }
-        };
+        const auto compare = [&] { check_agreement(cluster, three_members, committed); };
         for (const int fault : faults) {
             const std::string& victim = three_members[static_cast<std::size_t>(fault) % 3];
             for (const std::string& it : three_members) {
