--- a/review/common-2/stand_in.h
+++ b/review/common-2/stand_in.h
@@ -724,7 +724,11 @@
     std::string zone;
     bool control = false;
     std::string folder;
+    /// Grows when the machine loses its disk.
+    int disk = 0;
     pid_t pid = 0;
+
+    std::string data_folder() const { return folder + "/data" + std::to_string(disk); }
 };
 
 struct site_options {
@@ -803,6 +807,7 @@
 
     void launch(machine& it, bool first_start)
     {
+        std::filesystem::create_directories(it.data_folder());
         const std::string settings = it.folder + "/settings.yaml";
         std::ofstream(settings) << render(it, first_start);
         const pid_t pid = ::fork();
@@ -987,7 +992,7 @@
         it.name = std::string(control ? "core-" : "edge-") + it.zone + "-" + std::to_string(n);
         it.ip = ip_prefix + std::to_string((control ? 10 : 50) + n);
         it.folder = folder + "/" + it.name;
-        std::filesystem::create_directories(it.folder + "/data");
+        std::filesystem::create_directories(it.folder);
         machines.push_back(it);
     }
 
@@ -1006,7 +1011,7 @@
         }
         const std::vector<std::pair<std::string, std::string>> values{
             {"{{nodeName}}", it.name},
-            {"{{dataDir}}", it.folder + "/data"},
+            {"{{dataDir}}", it.data_folder()},
             {"{{ip}}", it.ip},
             {"{{zone}}", it.zone},
             {"{{internalPortRange.0}}", std::to_string(internal_port)},
