Name prepared statements on instance connections by a number

Other shapes with blanks were refused.

Cause: the name on the connection was `r_` or `w_` and the shape. With the shape `q20 READ lw` the instance read `PREPARE r_q20 READ lw READ q20 READ lw` as name `r_q20`, shape `READ lw READ q20 READ lw`, which replaced the statement of another session.

Ruled out: the parser of callers' lines; it keeps the shape as it was sent.

Change: each connection numbers its statements; the name is the number in letters and digits. The statement, READ or WRITE and shape together, is the key. A connection whose instance has lost a name is closed instead of being set up anew beside names that may live.

--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -12,6 +12,7 @@
 #include "core/registry/declared_configuration.h"
 #include "core/statements/statement.h"
 #include "pooling/pooled_connection.h"
+#include "pooling/prepared_statement.h"
 
 namespace balsamdrift {
 
@@ -74,12 +75,6 @@
     bool request_sent = false;
 };
 
-/// A statement that a session has prepared.
-struct prepared_statement {
-    bool writes = false;
-    std::string text;
-};
-
 /// Session of one caller: its values, its prepared statements and at most one transaction.
 struct caller_session {
     std::uint64_t number = 0;
--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -27,7 +27,7 @@
                                         const session_values& values,
                                         const connection_budget& budget, time_point now)
 {
-    if (find_fitting_connection(pool, customer, values, {}) != nullptr) {
+    if (find_fitting_connection(pool, customer, values, nullptr) != nullptr) {
         return connection_availability::ready;
     }
     const auto open = static_cast<int>(pool.connections.size());
@@ -47,7 +47,7 @@
 pooled_connection_ptr find_fitting_connection(const instance_pool& pool,
                                               const std::string& customer,
                                               const session_values& values,
-                                              const std::string& prepared)
+                                              const prepared_statement* prepared)
 {
     pooled_connection_ptr best;
     std::size_t best_missing = 0;
@@ -57,7 +57,7 @@
         }
         const bool discards = must_discard(*it, values);
         const bool must_prepare =
-            !prepared.empty() && (discards || !it->prepared.contains(prepared));
+            prepared != nullptr && (discards || !it->prepared.names.contains(*prepared));
         const std::size_t missing = values.size() + (must_prepare ? 1 : 0) + (discards ? 1 : 0) -
                                     (discards ? 0 : it->values.size());
         if (best == nullptr || missing < best_missing) {
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -102,11 +102,11 @@
 bool must_discard(const pooled_connection& connection, const session_values& values);
 
 /// Returns the customer's idle connection that needs the fewest set-up statements for the session,
-/// or null. `prepared` is the shared name of the prepared statement to run; empty if there is none.
+/// or null. `prepared` is the prepared statement to run; null if there is none.
 pooled_connection_ptr find_fitting_connection(const instance_pool& pool,
                                               const std::string& customer,
                                               const session_values& values,
-                                              const std::string& prepared);
+                                              const prepared_statement* prepared);
 
 /// Returns the least recently used idle connection, or null.
 pooled_connection_ptr find_replaceable_connection(const instance_pool& pool);
--- a/pooling/pooled_connection.h
+++ b/pooling/pooled_connection.h
@@ -4,11 +4,11 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "base/time.h"
 #include "pooling/instance_connection.h"
+#include "pooling/prepared_names.h"
 
 namespace balsamdrift {
 
@@ -42,8 +42,8 @@
     /// True once the instance has accepted the connection.
     bool accepted = false;
     session_values values;
-    /// Names of the statements that are prepared on the connection.
-    std::set<std::string> prepared;
+    /// Statements that are prepared on the connection.
+    prepared_names prepared;
     /// Answers to the statements that were sent, oldest first.
     std::deque<expected_answer> expected_answers;
     /// Number of the session that uses the connection; zero while it is idle.
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -224,14 +224,17 @@
     const bool failed =
         code == statement_error_code::failed || code == statement_error_code::timeout;
     if (single && (was_not_run(code) || (reads && failed))) {
-        if (code == statement_error_code::unknown_statement) {
-            connection->prepared.clear();
-        }
         session.transaction->connection = nullptr;
         session.transaction->may_have_written = false;
         const std::string instance = connection->instance;
         const bool busy = code == statement_error_code::busy;
-        release_connection(connection, !busy);
+        if (code == statement_error_code::unknown_statement) {
+            // It is not known which statements the connection has now, so it is not reused.
+            close_connection(connection);
+        }
+        else {
+            release_connection(connection, !busy);
+        }
         if (session.pending && busy) {
             retry_busy(session);
         }
@@ -248,7 +251,12 @@
                                            {"sent", "yes"}});
     const bool ends = session.pending->request.kind == statement_kind::commit ||
                       session.pending->request.kind == statement_kind::rollback;
+    const bool unknown_name = code == statement_error_code::unknown_statement;
     statement_answer caller_answer = instance_answer;
+    if (unknown_name) {
+        // The instance names the statement as it is called on the connection.
+        caller_answer.result = statement_error{code, session.pending->request.name};
+    }
     if (!single && ends) {
         // Whatever the outcome, the connection may still be inside the transaction.
         const pooled_connection_ptr unfinished = session.transaction->connection;
@@ -258,7 +266,12 @@
         caller_answer.state = session_state::idle;
     }
     else if (!single) {
-        roll_back(session);
+        if (unknown_name) {
+            abort_transaction(session);
+        }
+        else {
+            roll_back(session);
+        }
         caller_answer.state = session_state::failed_transaction;
     }
     answer(session, caller_answer);
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -7,11 +7,11 @@
 namespace balsamdrift {
 namespace {
 
-/// Name of a prepared statement on every connection. It depends only on the kind and the text, so
-/// that sessions which prepare the same statement share it.
-std::string shared_name(const prepared_statement& it)
+/// The prepared statement that the session's pending statement runs; null if it runs none.
+const prepared_statement* prepared_to_run(const caller_session& session)
 {
-    return (it.writes ? "w_" : "r_") + it.text;
+    const statement& request = session.pending->request;
+    return request.kind == statement_kind::execute ? &session.prepared.at(request.name) : nullptr;
 }
 
 /// True if the instance is known to have applied the position of the current primary's log.
@@ -206,13 +206,8 @@
 pooled_connection_ptr session_service::acquire_connection(const caller_session& session,
                                                           instance_pool& pool)
 {
-    const statement& request = session.pending->request;
-    std::string prepared;
-    if (request.kind == statement_kind::execute) {
-        prepared = shared_name(session.prepared.at(request.name));
-    }
-    if (auto fitting =
-            find_fitting_connection(pool, customer_of(session), session.values, prepared)) {
+    if (auto fitting = find_fitting_connection(pool, customer_of(session), session.values,
+                                               prepared_to_run(session))) {
         return fitting;
     }
     if (static_cast<int>(pool.connections.size()) >= budget_for(pool).kept) {
@@ -232,7 +227,7 @@
 {
     if (must_discard(connection, session.values)) {
         connection.values.clear();
-        connection.prepared.clear();
+        connection.prepared = {};
         count_metric("balsamdrift_connection_resets_total");
         send(connection, {.kind = statement_kind::discard}, answer_purpose::set_up);
     }
@@ -244,20 +239,15 @@
                  answer_purpose::set_up);
         }
     }
-    const statement& request = session.pending->request;
-    if (request.kind != statement_kind::execute) {
+    const prepared_statement* const prepared = prepared_to_run(session);
+    if (prepared == nullptr || connection.prepared.names.contains(*prepared)) {
         return;
     }
-    const prepared_statement& prepared = session.prepared.at(request.name);
-    const std::string name = shared_name(prepared);
-    if (connection.prepared.insert(name).second) {
-        send(
-            connection,
-            {.kind = prepared.writes ? statement_kind::prepare_write : statement_kind::prepare_read,
-             .name = name,
-             .argument = prepared.text},
-            answer_purpose::set_up);
-    }
+    send(connection,
+         {.kind = prepared->writes ? statement_kind::prepare_write : statement_kind::prepare_read,
+          .name = add_prepared_name(connection.prepared, *prepared),
+          .argument = prepared->text},
+         answer_purpose::set_up);
 }
 
 void session_service::start_on_instance(caller_session& session, service_state& service,
@@ -306,8 +296,8 @@
 {
     session.pending->request_sent = true;
     statement outgoing = session.pending->request;
-    if (outgoing.kind == statement_kind::execute) {
-        outgoing.name = shared_name(session.prepared.at(outgoing.name));
+    if (const prepared_statement* const prepared = prepared_to_run(session)) {
+        outgoing.name = connection.prepared.names.at(*prepared);
     }
     if (session.transaction && writes(session, session.pending->request)) {
         session.transaction->may_have_written = true;
