Let drawn tests fail: use the result of rc::check

Outside rc::prop, rc::check only prints that a property was falsified and returns false; seven tests ignored that and could not fail.

--- a/base/tests/compression_test.cpp
+++ b/base/tests/compression_test.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("decompression restores the bytes, and long documents become smaller", "[compression]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         // Starts like an encoded message, with an array of two.
         const std::string unit = "\x92" + *rc::gen::string<std::string>();
         std::string bytes;
@@ -18,7 +18,7 @@
         const std::string compressed = compress_if_large(bytes);
         auto plain = decompress(compressed);
         RC_ASSERT(value_of(plain) == bytes);
-    });
+    }));
     std::string routes;
     for (int n = 0; n < 1600; ++n) {
         routes += R"({"name":"r-)" + std::to_string(n * 7919) +
--- a/core/tests/connection_budget_test.cpp
+++ b/core/tests/connection_budget_test.cpp
@@ -7,7 +7,7 @@
 
 TEST_CASE("entries never keep more connections together than an instance accepts", "[rates]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         const int accepted = *rc::gen::inRange(0, 400);
         const int entries = *rc::gen::inRange(1, 400);
         std::vector<double> weights;
@@ -23,7 +23,7 @@
             RC_ASSERT(budget.in_use >= 1);
         }
         RC_ASSERT(kept <= std::max(accepted - connection_budget_options{}.reserved, 0));
-    });
+    }));
 }
 
 TEST_CASE("an entry without a share may still use connections for the statements that run now",
--- a/core/tests/instance_directory_test.cpp
+++ b/core/tests/instance_directory_test.cpp
@@ -66,7 +66,7 @@
 TEST_CASE("an entry that applies the changes since its version has the whole directory",
           "[directory]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         instance_directory directory;
         std::map<std::string, instance_heartbeat> entry;
         std::uint64_t entry_version = 0;
@@ -110,7 +110,7 @@
                 RC_ASSERT(entry.at(instance).leaving == it.last_heartbeat.leaving);
             }
         }
-    });
+    }));
 }
 
 TEST_CASE("a warming instance is sent to entries when it becomes cold or warm, not each time",
--- a/core/tests/registry_test.cpp
+++ b/core/tests/registry_test.cpp
@@ -235,7 +235,7 @@
 TEST_CASE("an entry that applies patches has the registry of control without the document",
           "[registry]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         registry control;
         registry entry;
         std::uint64_t index = 0;
@@ -264,7 +264,7 @@
             expected.declared.document.clear();
             RC_ASSERT(entry == expected);
         }
-    });
+    }));
 }
 
 TEST_CASE("only the changes of a large configuration are sent to entries", "[registry]")
--- a/core/tests/share_allocation_test.cpp
+++ b/core/tests/share_allocation_test.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("the running sums equal the sums over all entries, whatever the order of requests",
           "[rates]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         share_table table{.leading_since = start};
         std::map<std::string, fake_entry> entries;
         time_point now = start;
@@ -67,7 +67,7 @@
                       held_by_others(table, ""));
             RC_ASSERT(table.measured_entries == table.entries.size());
         }
-    });
+    }));
 }
 
 TEST_CASE("shares too small to be of use are not granted, and grants to many entries stay short",
@@ -127,7 +127,7 @@
 TEST_CASE("shares held by entries never add up to more than the whole, even if grants are lost",
           "[rates]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         share_table table{.leading_since = start};
         std::map<std::string, fake_entry> entries;
         time_point now = start;
@@ -152,7 +152,7 @@
             }
             RC_ASSERT(sum <= 1 + 1e-9);
         }
-    });
+    }));
 }
 
 TEST_CASE("an entry with all of the demand gets most of the whole", "[rates]")
--- a/core/tests/token_pool_test.cpp
+++ b/core/tests/token_pool_test.cpp
@@ -272,7 +272,7 @@
 
 TEST_CASE("the limit holds in every window despite lost answers, elections and restarts", "[rates]")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         fleet_fixture fleet;
         fleet.limits.rate = *rc::gen::inRange(2, 80);
         fleet.limits.burst = *rc::gen::inRange(1, 120);
@@ -309,7 +309,7 @@
             }
         }
         RC_ASSERT(fleet.busiest_window() <= fleet.allowed());
-    });
+    }));
 }
 
 TEST_CASE(
