soak: prepare shapes with blanks, and compare kind, shape and arguments of each run

They now prepare a read and a write of one drawn shape, half of them with blanks; the stand-in refuses a PREPARE without READ or WRITE, as an instance does, and the judge compares what ran with what was sent: another kind or shape breaks PINNED, other arguments UNASKED.

--- a/rig/soak/caller_session.cpp
+++ b/rig/soak/caller_session.cpp
@@ -14,6 +14,29 @@
 constexpr int items = 2000;
 /// One in so many statements is a prepared one, once it is prepared.
 constexpr int prepared_share = 4;
+/// The prepared read and the prepared write of a session.
+constexpr std::array<const char*, 2> prepared_kinds{"s1 READ ", "s2 WRITE "};
+/// Callers draw from so few shapes that several of them meet on one connection.
+constexpr int shapes = 50;
+
+/// A shape to prepare. Half of them have blanks, and words that are also part of statements.
+std::string draw_shape(std::mt19937_64& random)
+{
+    const std::string plain = "q" + std::to_string(random() % shapes);
+    constexpr std::array<const char*, 5> endings{" READ lw", " WRITE zg", " q1", " ",
+                                                 " s1 READ q2"};
+    const std::uint64_t drawn = random() % (2 * endings.size() + 2);
+    if (drawn < endings.size()) {
+        return plain + endings[drawn];
+    }
+    return drawn == endings.size() ? " " + plain : plain;
+}
+
+/// What follows the name in the text of an execution.
+std::string arguments_of_execution(const std::string& text)
+{
+    return text.substr(text.find(' ', text.find(' ') + 1) + 1);
+}
 
 std::string hex_id(std::mt19937_64& random)
 {
@@ -113,6 +136,7 @@
     }
     sent.began_at = origin_.began_at;
     sent.writes = writes;
+    sent.arguments = shape.empty() ? text : arguments_of_execution(text);
     sent.shape = std::move(shape);
     if (writes) {
         writes_.push_back(last_id_);
@@ -135,13 +159,15 @@
 
 task<bool> caller_session::prepare()
 {
-    const std::string shape = "q" + std::to_string(random_() % 1000);
-    const std::string text = "PREPARE s1 READ " + shape;
-    const caller_answer out =
-        co_await ask(text, false, std::string(), monotonic_clock::now() + start_limit);
-    if (!out.complete || !out.success) {
-        hang_up();
-        co_return false;
+    const std::string shape = draw_shape(random_);
+    for (const char* const kind : prepared_kinds) {
+        const std::string text = std::string("PREPARE ") + kind + shape;
+        const caller_answer out =
+            co_await ask(text, false, std::string(), monotonic_clock::now() + start_limit);
+        if (!out.complete || !out.success) {
+            hang_up();
+            co_return false;
+        }
     }
     shape_ = shape;
     co_return true;
@@ -152,9 +178,9 @@
     const std::string item = std::to_string(random_() % items);
     std::string text = (writes ? "WRITE " : "READ ") + item + (writes ? " d" + last_id_ : "");
     std::string shape;
-    if (!writes && !shape_.empty() && random_() % prepared_share == 0) {
-        text = "EXECUTE s1 " + item;
-        shape = shape_;
+    if (!shape_.empty() && random_() % prepared_share == 0) {
+        text = writes ? "EXECUTE s2 " + item + " d" + last_id_ : "EXECUTE s1 " + item;
+        shape = (writes ? "WRITE " : "READ ") + shape_;
     }
     caller_answer out = co_await ask(text, writes, shape, until);
     co_return out;
--- a/rig/soak/caller_session.h
+++ b/rig/soak/caller_session.h
@@ -48,7 +48,7 @@
     bool is_open() const { return conn_ != nullptr && !conn_->is_closed(); }
     void hang_up() { conn_.reset(); }
     task<attempt_result> attempt(operation_plan plan, time_point deadline);
-    /// Prepares the statement that `attempt` then executes now and then. False if that failed.
+    /// Prepares a read and a write that `attempt` then executes now and then. False if that failed.
     task<bool> prepare();
     const machine* entry() const { return origin_.entry; }
 
--- a/rig/soak/instance.h
+++ b/rig/soak/instance.h
@@ -29,8 +29,8 @@
     std::uint64_t term = 0;
     std::vector<std::string> write_ids;
     std::vector<std::pair<std::string, std::string>> writes;
-    /// Shape and whether it writes, by name.
-    std::map<std::string, std::pair<std::string, bool>> prepared;
+    /// Kind and shape, by name.
+    std::map<std::string, std::string> prepared;
 };
 
 /// A stand-in of a database instance.
--- a/rig/soak/instance_session.cpp
+++ b/rig/soak/instance_session.cpp
@@ -145,8 +145,11 @@
     }
     if (verb == "PREPARE") {
         const std::string prepared = take_word(line);
-        const bool writes = take_word(line) == "WRITE";
-        s.prepared[prepared] = {line, writes};
+        const std::string kind = take_word(line);
+        if ((kind != "READ" && kind != "WRITE") || line.empty()) {
+            return fail(it, s, conn, "MALFORMED");
+        }
+        s.prepared[prepared] = kind + " " + line;
     }
     else if (verb == "DEALLOCATE") {
         s.prepared.erase(line);
@@ -223,13 +226,13 @@
         if (found == s.prepared.end()) {
             co_return fail(it, s, conn, "NOSTMT");
         }
-        shape = found->second.first;
-        writes = found->second.second;
+        shape = found->second;
+        writes = shape.starts_with("WRITE ");
     }
     if (writes && !it.primary) {
         co_return fail(it, s, conn, "READONLY");
     }
-    verdicts_.ran(id, it.id, name_, s.tenant, shape);
+    verdicts_.ran(id, it.id, name_, s.tenant, shape, shape.empty() ? verb + " " + line : line);
     const std::string item = take_word(line);
     if (writes) {
         s.writes.emplace_back(item, line);
--- a/rig/soak/judge.cpp
+++ b/rig/soak/judge.cpp
@@ -82,7 +82,7 @@
 }
 
 void judge::ran(const std::string& id, const std::string& instance, const std::string& service,
-                const std::string& tenant, const std::string& shape)
+                const std::string& tenant, const std::string& shape, const std::string& arguments)
 {
     const auto found = statements_.find(id);
     if (found == statements_.end()) {
@@ -94,6 +94,10 @@
         break_rule(rule::pinned,
                    instance + " ran shape '" + shape + "' for '" + it.shape + "': " + describe(it));
     }
+    if (arguments != it.arguments) {
+        break_rule(rule::unasked, instance + " ran '" + arguments + "' for '" + it.arguments +
+                                      "': " + describe(it));
+    }
     const auto routed = [&](const auto& in) { return goes_to(in, it.database, service); };
     const auto keyed = [&](const auto& in) { return belongs_to(in, it.key, tenant); };
     if (!history_.allows(0, routed) || !history_.allows(0, keyed)) {
--- a/rig/soak/judge.h
+++ b/rig/soak/judge.h
@@ -59,7 +59,7 @@
 
     // Instances.
     void ran(const std::string& id, const std::string& instance, const std::string& service,
-             const std::string& tenant, const std::string& shape);
+             const std::string& tenant, const std::string& shape, const std::string& arguments);
     void committed(const std::string& id, const std::string& instance);
     void gave_receipt(const std::string& id, const std::string& receipt);
 
--- a/rig/soak/statement_record.h
+++ b/rig/soak/statement_record.h
@@ -12,8 +12,10 @@
     int incarnation = 0;
     std::string database;
     std::string key;
-    /// Shape of the prepared statement that it executes; empty for plain statements.
+    /// Kind and shape of the prepared statement that it executes; empty for plain statements.
     std::string shape;
+    /// The text, for an execution without the name of the prepared statement.
+    std::string arguments;
     bool writes = false;
     /// The caller uses databases and keys that change, so that each run is checked against them
     /// all.
--- a/rig/soak/tests/judge_test.cpp
+++ b/rig/soak/tests/judge_test.cpp
@@ -63,10 +63,10 @@
     court it;
     it.add_version(2, "svc0", "k1", it.now - seconds(4));
     it.send("early", "k0", it.now - seconds(2));
-    it.verdicts->ran("early", "i", "svc0", "t", "");
+    it.verdicts->ran("early", "i", "svc0", "t", "", "");
     CHECK_FALSE(it.broken("CONFIG"));
     it.send("late", "k0", it.now);
-    it.verdicts->ran("late", "i", "svc0", "t", "");
+    it.verdicts->ran("late", "i", "svc0", "t", "", "");
     CHECK(it.broken("CONFIG"));
 }
 
@@ -75,9 +75,9 @@
     court it;
     it.add_version(2, "svc1", "k0", it.now - seconds(1));
     it.send("newer", "k0", it.now);
-    it.verdicts->ran("newer", "i", "svc1", "t", "");
+    it.verdicts->ran("newer", "i", "svc1", "t", "", "");
     it.send("older", "k0", monotonic_clock::now() + seconds(1));
-    it.verdicts->ran("older", "i", "svc0", "t", "");
+    it.verdicts->ran("older", "i", "svc0", "t", "", "");
     CHECK(it.broken("CONFIG"));
 }
 
@@ -85,9 +85,25 @@
 {
     court it;
     it.send("strayed", "k0", it.now);
-    it.verdicts->ran("strayed", "i", "svc1", "t", "");
+    it.verdicts->ran("strayed", "i", "svc1", "t", "", "");
     CHECK(it.broken("ROUTE"));
-    it.verdicts->ran("unknown", "i", "svc0", "t", "");
+    it.verdicts->ran("unknown", "i", "svc0", "t", "", "");
+    CHECK(it.broken("UNASKED"));
+}
+
+TEST_CASE("another shape than the prepared one breaks PINNED, another text UNASKED")
+{
+    court it;
+    it.send("as-sent", "k0", it.now);
+    it.verdicts->ran("as-sent", "i", "svc0", "t", "", "");
+    CHECK_FALSE(it.broken("PINNED"));
+    CHECK_FALSE(it.broken("UNASKED"));
+    it.send("shape", "k0", it.now);
+    it.verdicts->ran("shape", "i", "svc0", "t", "READ q1", "");
+    CHECK(it.broken("PINNED"));
+    CHECK_FALSE(it.broken("UNASKED"));
+    it.send("text", "k0", it.now);
+    it.verdicts->ran("text", "i", "svc0", "t", "", "READ 12");
     CHECK(it.broken("UNASKED"));
 }
 
