Quote values in log lines

Values were written as they are after 'name='. Callers choose some of them: a database named 'db reason=none' read as another reason, one with a line feed as a line of its own, for example a process start. Values with blanks, quotes, '=' or control characters are now quoted and escaped, in the time line of balsamctl too.

--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -14,6 +14,7 @@
 
 #include "base/async_log_writer.h"
 #include "base/log_rate_limiter.h"
+#include "base/log_value.h"
 #include "base/metrics.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -63,7 +64,7 @@
     line.append(" ").append(row.name);
     line.append(" process=").append(event.process);
     for (const event_field& field : event.fields) {
-        line.append(" ").append(field.name).append("=").append(field.value);
+        line.append(" ").append(field.name).append("=").append(log_value(field.value));
     }
     return line;
 }
--- a/base/tests/event_catalogue_test.cpp
+++ b/base/tests/event_catalogue_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <regex>
@@ -44,6 +45,25 @@
     CHECK(timeline_since(events[1].stamp).size() == 1);
 }
 
+TEST_CASE("a text of a caller stays in its field of the log line", "[events]")
+{
+    const auto file = std::filesystem::temp_directory_path() / "event_catalogue_test.log";
+    std::filesystem::remove(file);
+    open_event_log({.process = "p", .file = file.string()});
+    log_event(
+        event_id::session_refused,
+        {{"database", "db reason=none\n2026-12-07 I 1001 process_started"}, {"reason", "x y"}});
+    close_event_log();
+    std::ifstream in(file);
+    std::string line;
+    REQUIRE(std::getline(in, line));
+    CHECK(line.ends_with("session_refused process=p "
+                         "database=\"db reason=none\\x0a2026-12-07 I 1001 process_started\" "
+                         "reason=\"x y\""));
+    CHECK_FALSE(std::getline(in, line));
+    open_event_log({.process = "p", .file = "/dev/null"});
+}
+
 TEST_CASE("later stamps are greater than a received one", "[events]")
 {
     const std::uint64_t received = next_timeline_stamp() + (std::uint64_t{1} << 40);
--- a/operators/timeline_report.cpp
+++ b/operators/timeline_report.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "base/event_log.h"
+#include "base/log_value.h"
 
 namespace balsamdrift {
 namespace {
@@ -25,7 +26,7 @@
     std::string text;
     for (const auto& [name, value] : event["fields"].items()) {
         text.append(text.empty() ? "" : " ").append(name).append("=");
-        text.append(value.is_string() ? value.get<std::string>() : value.dump());
+        text.append(value.is_string() ? log_value(value.get<std::string>()) : value.dump());
     }
     return text;
 }
