Escape the values of metric labels

Labels were built as name="value" from names that others choose: services from the configuration, instances from heartbeats.

--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -124,7 +124,7 @@
 
 void count_dropped_line(const event_description& row)
 {
-    count_metric("balsamdrift_dropped_log_lines_total", "event=\"" + std::string(row.name) + "\"");
+    count_metric("balsamdrift_dropped_log_lines_total", metric_label("event", row.name));
 }
 
 }  // namespace
--- a/base/metrics.cpp
+++ b/base/metrics.cpp
@@ -78,6 +78,24 @@
 
 }  // namespace
 
+std::string metric_label(std::string_view name, std::string_view value)
+{
+    std::string label(name);
+    label += "=\"";
+    for (const char it : value) {
+        if (it == '\\' || it == '"') {
+            label += '\\';
+        }
+        if (it == '\n') {
+            label += "\\n";
+        }
+        else {
+            label += it;
+        }
+    }
+    return label + '"';
+}
+
 void count_metric(std::string_view name, std::string_view labels, std::uint64_t amount)
 {
     shards().with(shard_of(name, labels), [&](metric_shard& shard) {
--- a/base/metrics.h
+++ b/base/metrics.h
@@ -9,6 +9,9 @@
 
 namespace balsamdrift {
 
+/// Formats one label, `name="value"`. The value may be any text; what would end it is escaped.
+std::string metric_label(std::string_view name, std::string_view value);
+
 /// Adds to a counter. `labels` is the text between the Prometheus braces, for example
 /// `code="not_run"`. The functions of this file may be called from any thread.
 void count_metric(std::string_view name, std::string_view labels = {}, std::uint64_t amount = 1);
--- a/callers/http_connection.cpp
+++ b/callers/http_connection.cpp
@@ -177,7 +177,7 @@
 
 void http_connection::refuse(unsigned status, std::string_view code, std::string_view detail)
 {
-    count_metric("balsamdrift_refused_requests_total", "code=\"" + std::string(code) + "\"");
+    count_metric("balsamdrift_refused_requests_total", metric_label("code", code));
     write_response(make_problem(status, code, detail), false);
     close_gracefully();
 }
--- a/entry/statement_service.cpp
+++ b/entry/statement_service.cpp
@@ -123,8 +123,8 @@
                                       monotonic_clock::now() - started_at);
                        count_metric(
                            "balsamdrift_statements_total",
-                           std::string("code=\"") + (answer.code.empty() ? "ok" : answer.code) +
-                               "\",replica=\"" + (answer.from_replica ? "yes" : "no") + "\"");
+                           metric_label("code", answer.code.empty() ? "ok" : answer.code) + "," +
+                               metric_label("replica", answer.from_replica ? "yes" : "no"));
                        responder.send(format_answer(answer, token));
                    });
 }
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -60,8 +60,7 @@
     session.last_active_at = now;
     session.state = it.state;
     const duration took = now - done->arrived_at;
-    observe_metric("balsamdrift_statement_seconds",
-                   std::string("result=\"") + result_name(it) + "\"", took);
+    observe_metric("balsamdrift_statement_seconds", metric_label("result", result_name(it)), took);
     static thread_local std::uint64_t served = 0;
     if (is_success(it) && ++served % success_log_interval == 0) {
         log_event(event_id::statement_served, {{"id", done->request.id},
@@ -87,11 +86,11 @@
                                   duration retry_after)
 {
     const time_point now = hooks_.now();
-    count_metric("balsamdrift_refused_statements_total", "reason=\"" + reason + "\"");
+    count_metric("balsamdrift_refused_statements_total", metric_label("reason", reason));
     if (session.transaction) {
         count_metric("balsamdrift_shed_statements_total",
-                     "reason=\"" + reason + "\",priority=\"" +
-                         std::to_string(route_of(session).priority) + "\"");
+                     metric_label("reason", reason) + "," +
+                         metric_label("priority", std::to_string(route_of(session).priority)));
     }
     log_event(event_id::statement_refused,
               {{"id", session.pending->request.id},
--- a/pooling/session_service_placement.cpp
+++ b/pooling/session_service_placement.cpp
@@ -82,7 +82,7 @@
 {
     const proximity distance = distance_to(service.pools.at(chosen.instance));
     count_metric("balsamdrift_dispatched_statements_total",
-                 "distance=\"" + to_string(distance) + "\"");
+                 metric_label("distance", to_string(distance)));
     if (!needs_primary(session)) {
         record_read_start(service.locality, chosen.available, distance, now);
     }
@@ -137,7 +137,7 @@
     const double share_before = service.locality.share;
     const auto change = step_share(service.locality, options_.locality, options_.placement, now);
     if (service.locality.share != share_before) {
-        set_metric("balsamdrift_away_share", "service=\"" + name + "\"", service.locality.share);
+        set_metric("balsamdrift_away_share", metric_label("service", name), service.locality.share);
     }
     if (change) {
         count_metric("balsamdrift_spill_changes_total",
--- a/pooling/session_service_queue.cpp
+++ b/pooling/session_service_queue.cpp
@@ -17,7 +17,10 @@
 /// can run; otherwise the statement counts as delayed.
 constexpr double delayed_fraction = 0.5;
 
-std::string priority_label(int priority) { return "priority=\"" + std::to_string(priority) + "\""; }
+std::string priority_label(int priority)
+{
+    return metric_label("priority", std::to_string(priority));
+}
 
 void publish_limits(const service_state& service, const instance_pool& pool,
                     const limit_options& options)
@@ -26,7 +29,8 @@
         const duration interval = start_interval(
             pool.limit, options, {.priority = priority, .latency_objective = objective});
         set_metric("balsamdrift_instance_start_interval_seconds",
-                   "instance=\"" + pool.heartbeat.instance + "\"," + priority_label(priority),
+                   metric_label("instance", pool.heartbeat.instance) + "," +
+                       priority_label(priority),
                    float_seconds(interval).count());
     }
 }
