entry: keep announcements by group and instance, not by their joined names

The key was group + '/' + instance, so instance 'b/c' of group 'a' and instance 'c' of group 'a/b' replaced each other's stored announcement, and a new owner was not told of one of them. Found by reading; no run shows it.

--- a/entry/announcement_relay.cpp
+++ b/entry/announcement_relay.cpp
@@ -38,9 +38,9 @@
 void announcement_relay::receive(const announcement& received)
 {
     const std::uint64_t epoch = forward(received);
-    const std::string key = received.group + "/" + received.instance;
-    announcements_.with(key, [&](relay_shard& shard) {
-        shard.by_instance[key] = {received, monotonic_clock::now(), epoch};
+    announcements_.with(received.instance, [&](relay_shard& shard) {
+        shard.by_instance[{received.group, received.instance}] = {received, monotonic_clock::now(),
+                                                                  epoch};
     });
 }
 
--- a/entry/announcement_relay.h
+++ b/entry/announcement_relay.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "base/sharded.h"
 #include "base/time.h"
@@ -33,7 +34,8 @@
         std::uint64_t sent_epoch = 0;
     };
     struct relay_shard {
-        std::map<std::string, stored_announcement> by_instance;
+        /// By the names of the group and the instance.
+        std::map<std::pair<std::string, std::string>, stored_announcement> by_instance;
     };
 
     /// Sends an announcement to the owner of its group. Returns the owner's epoch; zero if the
