Run reads that fill a line on the primary, where they need no position

A read on a replica is sent with 'AFTER' and a position. A caller's line of 1 MiB became up to 48 bytes longer, beyond the longest message of the protocol, and an instance may refuse it or close the connection. A single read or execution without room for the prefix now counts as needing the primary.

statement_lines_test 'a read that leaves no room for a position in its line is run where none is needed' failed before (a line of 1048585 bytes).

--- a/core/statements/statement.h
+++ b/core/statements/statement.h
@@ -47,6 +47,8 @@
     std::string argument;
     /// Position that the log of the instance must include; otherwise it does not run the statement.
     std::optional<log_position> min_position;
+    /// True if the statement is so long that no minimum position can be sent with it.
+    bool excludes_min_position = false;
 };
 
 /// How a statement failed. was_not_run() tells which codes guarantee that it had no effect.
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -51,8 +51,12 @@
     if (transaction.route.consistency == read_consistency::primary) {
         return true;
     }
-    return is_single_statement(transaction) ? writes(session, session.pending->request)
-                                            : !transaction.read_only;
+    if (!is_single_statement(transaction)) {
+        return !transaction.read_only;
+    }
+    // On the primary a read needs no minimum position.
+    return writes(session, session.pending->request) ||
+           session.pending->request.excludes_min_position;
 }
 
 bool session_service::may_use_primary(const service_state& service, time_point now) const
