Bound what is kept prepared on a connection

The instances kept every name, too.

Cause: prepared statements are shared by the sessions of a connection, so no caller's DEALLOCATE removes one, and nothing else did while the connection was in use.

Change: at most 62 statements and 64 KiB of text a connection. The least recently used ones are deallocated before another is prepared; a longer text goes when the connection becomes idle. A failed DEALLOCATE closes the connection, as its names are not known any more.

--- a/pooling/instance_pool.cpp
+++ b/pooling/instance_pool.cpp
@@ -57,7 +57,7 @@
         }
         const bool discards = must_discard(*it, values);
         const bool must_prepare =
-            prepared != nullptr && (discards || !it->prepared.names.contains(*prepared));
+            prepared != nullptr && (discards || !is_prepared(it->prepared, *prepared));
         const std::size_t missing = values.size() + (must_prepare ? 1 : 0) + (discards ? 1 : 0) -
                                     (discards ? 0 : it->values.size());
         if (best == nullptr || missing < best_missing) {
--- a/pooling/instance_pool.h
+++ b/pooling/instance_pool.h
@@ -39,6 +39,8 @@
     /// `min_full_backoff`. The time doubles with each further refusal, up to `max_full_backoff`.
     duration min_full_backoff = milliseconds(30);
     duration max_full_backoff = milliseconds(240);
+    /// Limits of what is kept prepared on each connection.
+    prepared_limits prepared;
 };
 
 /// This VM's connections to one instance, and the state of the instance as this VM sees it.
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -268,6 +268,8 @@
     void start_on_instance(caller_session& session, service_state& service, instance_pool& pool);
     pooled_connection_ptr acquire_connection(const caller_session& session, instance_pool& pool);
     pooled_connection_ptr open_connection(instance_pool& pool, const std::string& customer);
+    /// Drops prepared statements of the connection at the instance, by their names there.
+    void deallocate(pooled_connection& connection, const std::vector<std::string>& names);
     /// Sends the session values and the prepared statement that the connection lacks.
     void set_up_connection(caller_session& session, pooled_connection& connection);
     void send_request(caller_session& session, pooled_connection& connection);
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -47,6 +47,11 @@
     }
     caller_session* const session = find_session(connection->session);
     if (session == nullptr || !session->pending) {
+        const bool failed = error_code_of(instance_answer).has_value();
+        if (connection->session == 0 && expected.purpose == answer_purpose::set_up && failed) {
+            // It is not known what the connection has now, so it is not reused.
+            close_connection(connection);
+        }
         return;
     }
     if (expected.purpose != answer_purpose::request) {
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -227,6 +227,15 @@
     connection.transport.send(it);
 }
 
+void session_service::deallocate(pooled_connection& connection,
+                                 const std::vector<std::string>& names)
+{
+    for (const std::string& name : names) {
+        send(connection, {.kind = statement_kind::deallocate, .name = name},
+             answer_purpose::set_up);
+    }
+}
+
 void session_service::set_up_connection(caller_session& session, pooled_connection& connection)
 {
     if (must_discard(connection, session.values)) {
@@ -244,12 +253,13 @@
         }
     }
     const prepared_statement* const prepared = prepared_to_run(session);
-    if (prepared == nullptr || connection.prepared.names.contains(*prepared)) {
+    if (prepared == nullptr || is_prepared(connection.prepared, *prepared)) {
         return;
     }
+    deallocate(connection, make_room(connection.prepared, options_.pool.prepared, *prepared));
     send(connection,
          {.kind = prepared->writes ? statement_kind::prepare_write : statement_kind::prepare_read,
-          .name = add_prepared_name(connection.prepared, *prepared),
+          .name = add_name(connection.prepared, *prepared),
           .argument = prepared->text},
          answer_purpose::set_up);
 }
@@ -301,7 +311,7 @@
     session.pending->request_sent = true;
     statement outgoing = session.pending->request;
     if (const prepared_statement* const prepared = prepared_to_run(session)) {
-        outgoing.name = connection.prepared.names.at(*prepared);
+        outgoing.name = use_name(connection.prepared, *prepared);
     }
     if (session.transaction && writes(session, session.pending->request)) {
         session.transaction->may_have_written = true;
@@ -327,6 +337,7 @@
         mean += scaled(held - mean, hold_time_weight);
     }
     connection->last_used_at = now;
+    deallocate(*connection, remove_excess(connection->prepared, options_.pool.prepared));
     serve_queue(*service);
 }
 
--- a/pooling/tests/shared_connection_model_test.cpp
+++ b/pooling/tests/shared_connection_model_test.cpp
@@ -56,7 +56,10 @@
 
     explicit shared_connections(unsigned seed)
         : random(seed),
-          service({.failure_domain = "brest-port", .regions = {{"brest-port", "ouest"}}},
+          service({.failure_domain = "brest-port",
+                   .regions = {{"brest-port", "ouest"}},
+                   // Fewer than the callers prepare, so that names are used again.
+                   .pool = {.prepared = {.max_statements = 2}}},
                   {.now = [this] { return now; },
                    .open = [this](const connection_target& target,
                                   connection_events it) { return open(target, std::move(it)); },
@@ -152,7 +155,16 @@
                 return;
             case statement_kind::set_value: it.values[sent.name] = sent.argument; return;
             case statement_kind::prepare_read:
-            case statement_kind::prepare_write: it.prepared[sent.name] = sent.argument; return;
+            case statement_kind::prepare_write:
+                if (!it.prepared.emplace(sent.name, sent.argument).second) {
+                    violations.push_back("a name prepared twice: " + sent.name);
+                }
+                return;
+            case statement_kind::deallocate:
+                if (it.prepared.erase(sent.name) == 0) {
+                    violations.push_back("an unknown name deallocated: " + sent.name);
+                }
+                return;
             case statement_kind::rollback:
                 if (sent.id.empty()) {
                     // The service ends a transaction that has failed.
