Keep only the beginning of a long text in the log and on the time line

Events keep their values for the time line, 4096 of them, and callers choose some: an id or the name of a database may have 1 MiB, and 100 such events a second are kept. An entry could be filled with them up to its memory. Values are cut after 256 bytes, with their length.

--- a/base/event_log.cpp
+++ b/base/event_log.cpp
@@ -58,6 +58,26 @@
     return it.last_stamp;
 }
 
+/// Longest value of a field that is kept and written, in bytes. Callers choose some values, such as
+/// the ids of their statements, and a line of theirs may have 1 MiB. Names and addresses are
+/// shorter.
+constexpr std::size_t max_value_length = 256;
+
+/// The fields of an event, with the ends of too long values replaced by their length.
+std::vector<event_field> shortened(std::initializer_list<event_field> fields)
+{
+    std::vector<event_field> out;
+    out.reserve(fields.size());
+    for (const event_field& it : fields) {
+        event_field& field =
+            out.emplace_back(event_field{it.name, it.value.substr(0, max_value_length)});
+        if (it.value.size() > max_value_length) {
+            field.value += "... (" + std::to_string(it.value.size()) + " bytes)";
+        }
+    }
+    return out;
+}
+
 std::string format_line(const event_description& row, const timeline_event& event)
 {
     std::string line = std::to_string(static_cast<unsigned>(event.id));
@@ -170,13 +190,14 @@
 void log_event(event_id id, std::initializer_list<event_field> fields)
 {
     const event_description& row = describe(id);
-    timeline_event event{.id = id, .fields = fields};
+    timeline_event event{.id = id};
     log_state& it = state();
     const std::lock_guard lock(it.mutex);
     if (!allow_log_line(it.rate_limiter, {}, id, monotonic_clock::now())) {
         count_dropped_line(row);
         return;
     }
+    event.fields = shortened(fields);
     event.stamp = advance_stamp(it);
     event.process = it.options.process;
     log_line line{row.severity, format_time(event.stamp) + ' ' + severity_letter(row.severity) +
--- a/base/tests/event_catalogue_test.cpp
+++ b/base/tests/event_catalogue_test.cpp
@@ -49,6 +49,8 @@
 {
     const auto file = std::filesystem::temp_directory_path() / "event_catalogue_test.log";
     std::filesystem::remove(file);
+    // Lines of other tests of this process may still be queued.
+    close_event_log();
     open_event_log({.process = "p", .file = file.string()});
     log_event(
         event_id::session_refused,
@@ -64,6 +66,19 @@
     open_event_log({.process = "p", .file = "/dev/null"});
 }
 
+TEST_CASE("the timeline keeps only the beginning of a long text", "[events]")
+{
+    // Guards against callers whose ids of 1 MiB fill the memory with recent events.
+    open_event_log({.process = "p", .file = "/dev/null"});
+    const std::uint64_t before = next_timeline_stamp();
+    log_event(event_id::session_refused,
+              {{"database", std::string(1 << 20, 'x')}, {"reason", std::string(256, 'y')}});
+    const auto events = timeline_since(before);
+    REQUIRE(events.size() == 1);
+    CHECK(events[0].fields[0].value == std::string(256, 'x') + "... (1048576 bytes)");
+    CHECK(events[0].fields[1].value == std::string(256, 'y'));
+}
+
 TEST_CASE("later stamps are greater than a received one", "[events]")
 {
     const std::uint64_t received = next_timeline_stamp() + (std::uint64_t{1} << 40);
