soak: instances drop connections that went silent

The logs show connections refused with TOOMANY from the fault on, 50 to 100 a second at each entry.

Cause: the stand-in of an instance kept a silent connection for good, also after the entry had given it up, and counted it against its limit. By PROTOCOL.md 'a connection whose far end is dark is dropped after 3 s'. It does so now; the checks are as they were.

--- a/rig/soak/connection.cpp
+++ b/rig/soak/connection.cpp
@@ -182,6 +182,11 @@
 
 void connection::read_available()
 {
+    if (is_dead() && monotonic_clock::now() - over_->dead_before >= over_->drops_dead_after) {
+        closed_ = true;
+        changed_.notify();
+        return;
+    }
     if (is_dead() || (over_ != nullptr && over_->silent_in)) {
         paused_ = true;
         watch();
--- a/rig/soak/instance.h
+++ b/rig/soak/instance.h
@@ -57,7 +57,7 @@
     std::unique_ptr<listener> door;
     std::unique_ptr<waiter> beat_now;
     std::string heartbeat_to;
-    link path;
+    link path{.drops_dead_after = seconds(3)};
 };
 
 }  // namespace balsamdrift::soak
--- a/rig/soak/link.h
+++ b/rig/soak/link.h
@@ -11,6 +11,9 @@
     bool silent_out = false;
     /// Connections that were open at this time stay silent for good; new ones work.
     time_point dead_before{};
+    /// The stand-in ends a connection after this time of such silence. By the protocol an instance
+    /// drops one whose far end is dark after 3 s, so that it no longer counts as a connection.
+    duration drops_dead_after = duration::max();
     /// Added to what is sent.
     duration delay{};
 };
