--- a/base/log_value.cpp
+++ b/base/log_value.cpp
@@ -4,20 +4,14 @@
 #include <array>
 #include <cstdio>
 
+#include "base/text.h"
+
 namespace balsamdrift {
 namespace {
 
-bool is_control(char it)
-{
-    constexpr unsigned char blank = ' ';
-    constexpr unsigned char del = 0x7f;
-    const auto code = static_cast<unsigned char>(it);
-    return code < blank || code == del;
-}
-
 bool needs_quotes(char it)
 {
-    return it == ' ' || it == '"' || it == '=' || it == '\\' || is_control(it);
+    return it == ' ' || it == '"' || it == '=' || it == '\\' || is_control_character(it);
 }
 
 }  // namespace
@@ -33,7 +27,7 @@
             quoted += '\\';
             quoted += it;
         }
-        else if (is_control(it)) {
+        else if (is_control_character(it)) {
             std::array<char, 5> buf{};
             std::snprintf(buf.data(), buf.size(), "\\x%02x", static_cast<unsigned char>(it));
             quoted += buf.data();
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -228,13 +228,14 @@
     const bool reads = !writes(session, session.pending->request);
     const bool failed =
         code == statement_error_code::failed || code == statement_error_code::timeout;
+    // It is not known which statements the connection has then, so it is not reused.
+    const bool lost_names = code == statement_error_code::unknown_statement;
     if (single && (was_not_run(code) || (reads && failed))) {
         session.transaction->connection = nullptr;
         session.transaction->may_have_written = false;
         const std::string instance = connection->instance;
         const bool busy = code == statement_error_code::busy;
-        if (code == statement_error_code::unknown_statement) {
-            // It is not known which statements the connection has now, so it is not reused.
+        if (lost_names) {
             close_connection(connection);
         }
         else {
@@ -256,9 +257,8 @@
                                            {"sent", "yes"}});
     const bool ends = session.pending->request.kind == statement_kind::commit ||
                       session.pending->request.kind == statement_kind::rollback;
-    const bool unknown_name = code == statement_error_code::unknown_statement;
     statement_answer caller_answer = instance_answer;
-    if (unknown_name) {
+    if (lost_names) {
         // The instance names the statement as it is called on the connection.
         caller_answer.result = statement_error{code, session.pending->request.name};
     }
@@ -271,7 +271,7 @@
         caller_answer.state = session_state::idle;
     }
     else if (!single) {
-        if (unknown_name) {
+        if (lost_names) {
             abort_transaction(session);
         }
         else {
