tests: one host of a session service for the tests of shared connections

The drawn tests of statement lines and of shared connections set up the same virtual clock, hooks, grants of tokens and configuration, line by line.

--- a/base/tests/metrics_test.cpp
+++ b/base/tests/metrics_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Reads a label back by the rules of the Prometheus text format; empty if it is not one label.
+/// Reads a label back by the rules of the Prometheus text format.
 std::string value_of_label(const std::string& label, const std::string& name)
 {
     const std::string begin = name + "=\"";
--- a/pooling/tests/shared_connection_model_test.cpp
+++ b/pooling/tests/shared_connection_model_test.cpp
@@ -3,21 +3,17 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <set>
 
-#include "pooling/session_service.h"
+#include "pooling/tests/session_host.h"
 
 using namespace balsamdrift;
 
 namespace {
 
-const time_point start{std::chrono::hours(1)};
-
 /// A session as its caller knows it.
 struct modelled_session {
     std::uint64_t number = 0;
@@ -42,62 +38,35 @@
 
 /// One VM with an instance that checks each statement against the session that sent it. The
 /// session's number is part of the statement's id.
-struct shared_connections {
-    time_point now = start;
-    registry state;
+struct shared_connections : test::session_host {
     std::mt19937 random;
     std::map<std::uint64_t, modelled_session> sessions;
-    std::deque<std::function<void()>> events;
     std::vector<std::string> violations;
     std::size_t opened = 0;
     std::size_t run = 0;
     int next_id = 0;
-    session_service service;
 
     explicit shared_connections(unsigned seed)
-        : random(seed),
-          service({.failure_domain = "brest-port",
-                   .regions = {{"brest-port", "ouest"}},
-                   // Fewer than the callers prepare, so that names are used again.
-                   .pool = {.prepared = {.max_statements = 2}}},
-                  {.now = [this] { return now; },
-                   .open = [this](const connection_target& target,
-                                  connection_events it) { return open(target, std::move(it)); },
-                   .configuration = [this] { return std::make_shared<const registry>(state); },
-                   .holds_lease = [](time_point) { return true; },
-                   .report_soon = [] {},
-                   .request_tokens =
-                       [this](std::uint64_t number, const customer_token_requests& requests, bool) {
-                           customer_token_grants grants;
-                           for (const auto& [name, it] : requests) {
-                               grants[name] = {.for_waiting = it.waiting, .for_prefetch = 50};
-                           }
-                           events.push_back(
-                               [this, number, grants] { service.on_token_grants(number, grants); });
-                       },
-                   .answered_request_sent_at = [this] { return now; }})
+        : session_host({.failure_domain = "brest-port",
+                        .regions = {{"brest-port", "ouest"}},
+                        // Fewer than the callers prepare, so that names are used again.
+                        .pool = {.prepared = {.max_statements = 2}}},
+                       [this](const connection_target& target, connection_events it) {
+                           return open(target, std::move(it));
+                       }),
+          random(seed)
     {
-        state.index = 10;
-        state.declared.version = 1;
         state.declared.services["registre"] = {.connections = 12};
-        state.declared.routes["strict"] = {.service = "registre",
-                                           .consistency = read_consistency::primary,
-                                           .statement_timeout = seconds(1),
-                                           .latency_objective = milliseconds(500)};
+        state.declared.routes["strict"] = route(read_consistency::primary);
         for (const char* customer : {"agence", "port"}) {
             state.declared.customers[customer] = {.rate = 10'000, .burst = 10'000};
             state.declared.customer_of_key[customer] = customer;
         }
-        state.primaries["registre"] = {.instance = "a", .epoch = 10};
-        service.on_configuration();
-        service.on_instructions({.entry_count = 1,
-                                 .directory_version = 1,
-                                 .has_directory = true,
-                                 .instances = {{.instance = "a",
-                                                .service = "registre",
-                                                .address = "10.0.0.1:1",
-                                                .failure_domain = "brest-port",
-                                                .reports_primary = true}}});
+        put_in_force({{.instance = "a",
+                       .service = "registre",
+                       .address = "10.0.0.1:1",
+                       .failure_domain = "brest-port",
+                       .reports_primary = true}});
     }
 
     unsigned below(unsigned n) { return static_cast<unsigned>(random() % n); }
