control: a late deregistration does not remove a later incarnation

A deregistration carries the start of the incarnation that leaves, but the directory removed the instance whatever had started since. With synchronous replicas it was treated as a holder that has left.

Cause: handle_deregistration() passed only the name on.

Change: the start goes along, also to the leader, and a later incarnation stays in the directory. A deregistration from a build without the member removes only instances that report no start; the mark of the leaving incarnation in the registry is set as before.

Test: core 'a late deregistration of an earlier incarnation removes nothing'. The code before takes no start, so the test does not compile there.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -559,7 +559,7 @@
 void control_service::handle(const relayed_deregistration& it, const std::string&)
 {
     if (holds_leadership(*consensus_, monotonic_clock::now())) {
-        coordinator_.handle_deregistration(it.instance);
+        coordinator_.handle_deregistration(it.instance, it.born_ms);
     }
 }
 
@@ -605,15 +605,15 @@
         Qt::QueuedConnection);
 }
 
-void control_service::handle_deregistration(const std::string& instance)
+void control_service::handle_deregistration(const std::string& instance, std::int64_t born_ms)
 {
     QMetaObject::invokeMethod(
         this,
-        [this, instance] {
-            coordinator_.handle_deregistration(instance);
+        [this, instance, born_ms] {
+            coordinator_.handle_deregistration(instance, born_ms);
             const std::string leader = leader_address();
             if (!leader.empty() && leader != fleet_.address()) {
-                send_message(leader, relayed_deregistration{instance});
+                send_message(leader, relayed_deregistration{instance, born_ms});
             }
         },
         Qt::QueuedConnection);
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -97,9 +97,9 @@
     /// thread.
     void handle_heartbeat(const instance_heartbeat& it);
 
-    /// Removes an instance that deregistered from the directory, here and on the leader. Safe from
-    /// any thread.
-    void handle_deregistration(const std::string& instance);
+    /// Removes an instance from the directory, here and on the leader, after the incarnation that
+    /// started at `born_ms` deregistered. Safe from any thread.
+    void handle_deregistration(const std::string& instance, std::int64_t born_ms);
 
     /// Returns the newest published status; all its parts are of the same time. Safe from any
     /// thread.
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -67,9 +67,9 @@
     }
 }
 
-void service_coordinator::handle_deregistration(const std::string& instance)
+void service_coordinator::handle_deregistration(const std::string& instance, std::int64_t born_ms)
 {
-    remove_instance(directory_, instance);
+    remove_instance(directory_, instance, born_ms);
 }
 
 void service_coordinator::release_entry(const std::string& entry)
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -47,8 +47,9 @@
     /// Records a heartbeat of an instance.
     void handle_heartbeat(const instance_heartbeat& it, time_point now);
 
-    /// Removes an instance that deregistered from the directory.
-    void handle_deregistration(const std::string& instance);
+    /// Removes an instance that deregistered from the directory, unless a later incarnation than
+    /// the one that started at `born_ms` is known.
+    void handle_deregistration(const std::string& instance, std::int64_t born_ms);
 
     /// Frees the connection shares and rate tokens of an entry that is known to have ended.
     void release_entry(const std::string& entry);
--- a/core/instances/instance_directory.cpp
+++ b/core/instances/instance_directory.cpp
@@ -80,10 +80,12 @@
     return heartbeat_result::accepted;
 }
 
-void remove_instance(instance_directory& directory, const std::string& instance)
+void remove_instance(instance_directory& directory, const std::string& instance,
+                     std::int64_t born_ms)
 {
-    remove_if(directory,
-              [&](const known_instance& it) { return it.last_heartbeat.instance == instance; });
+    remove_if(directory, [&](const known_instance& it) {
+        return it.last_heartbeat.instance == instance && it.last_heartbeat.born_ms <= born_ms;
+    });
 }
 
 void remove_expired_instances(instance_directory& directory, const directory_options& options,
--- a/core/instances/instance_directory.h
+++ b/core/instances/instance_directory.h
@@ -96,8 +96,10 @@
 heartbeat_result record_heartbeat(instance_directory& directory,
                                   const instance_heartbeat& heartbeat, time_point now);
 
-/// Removes an instance that deregistered.
-void remove_instance(instance_directory& directory, const std::string& instance);
+/// Removes an instance of which the incarnation that started at `born_ms` deregistered. A later
+/// incarnation stays.
+void remove_instance(instance_directory& directory, const std::string& instance,
+                     std::int64_t born_ms);
 
 /// Removes the instances whose last heartbeat is older than the expiry time.
 void remove_expired_instances(instance_directory& directory, const directory_options& options,
--- a/core/tests/instance_directory_test.cpp
+++ b/core/tests/instance_directory_test.cpp
@@ -49,6 +49,17 @@
     CHECK(directory.version > version);
 }
 
+// Guards against a deregistration that arrives after the instance has started again under its name.
+TEST_CASE("a late deregistration of an earlier incarnation removes nothing", "[directory]")
+{
+    instance_directory directory;
+    record_heartbeat(directory, heartbeat("a", "10.0.0.1:1", 300, 1), start);
+    remove_instance(directory, "a", 100);
+    CHECK(directory.instances.contains("a"));
+    remove_instance(directory, "a", 300);
+    CHECK(directory.instances.empty());
+}
+
 TEST_CASE("an instance without heartbeats expires, and an unchanged heartbeat keeps the version",
           "[directory]")
 {
@@ -77,7 +88,7 @@
             now += milliseconds(*rc::gen::inRange(1, 3000));
             const int action = *rc::gen::inRange(0, 8);
             if (action == 0) {
-                remove_instance(directory, name);
+                remove_instance(directory, name, *rc::gen::inRange(0, 6));
             }
             else if (action == 1) {
                 remove_expired_instances(directory, {}, now);
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -106,7 +106,10 @@
 /// the directory.
 struct relayed_deregistration {
     std::string instance;
-    MSGPACK_DEFINE(instance)
+    /// Start of the incarnation that deregistered; a later one stays. Builds without this member
+    /// send none, and their deregistrations then remove only instances that report no start.
+    std::int64_t born_ms = 0;
+    MSGPACK_DEFINE(instance, born_ms)
 };
 
 /// Lease request of an entry that cannot reach control, forwarded by another entry.
