core: a commit holder outside the directory is asked, and forgotten only once it has ended

Cause: an instance that leaves the directory was taken for one that has ended. forget_covered_holders() dropped it from the recorded holders once another replica had what the primary had after that moment. But it could still be connected to the primary and acknowledge every later commit alone.

Change: leaving the directory says nothing about the instance any more. A recorded holder that is not in the directory is asked for its status at its recorded address. While it answers it stays recorded and its position counts in the choice. It is forgotten when the others have what the primary had after it is known to have ended: nothing listens at its address, another instance answers there, or a later incarnation reports from there. One that is silent is waited for as before, 15 s after it was last heard or left the directory.

Tests: core 'a replica that runs outside the directory is not passed over', 'a silent replica is not forgotten at once when the others have caught up'; both failed on the old code.

--- a/control/failover_requests.h
+++ b/control/failover_requests.h
@@ -27,10 +27,8 @@
 /// Requests that service_coordinator sends to instances and to the platform. The answer handlers
 /// are called on the coordinator's thread.
 struct failover_requests {
-    /// Requests the status of an instance. The handler gets no value if the instance refused the
-    /// request or did not answer in time.
-    std::function<void(const instance_heartbeat&,
-                       std::function<void(std::optional<instance_status>)>)>
+    /// Requests the status of an instance.
+    std::function<void(const instance_heartbeat&, std::function<void(status_result)>)>
         request_status;
     /// Tells an instance that reports itself as primary that a newer term has begun.
     std::function<void(const instance_heartbeat&, std::uint64_t term)> step_down;
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -305,14 +305,30 @@
                 }
                 const std::uint64_t epoch = primary_changes_[service].epoch;
                 const auto on_answer = [this, service, epoch, name = it.instance,
-                                        requested_at = monotonic_clock::now()](
-                                           const std::optional<instance_status>& status) {
+                                        requested_at =
+                                            monotonic_clock::now()](const status_result& res) {
+                    const auto* const status = std::get_if<instance_status>(&res);
                     if (primary_changes_[service].epoch == epoch) {
-                        handle_status_answer(primary_changes_[service], name, status, requested_at);
+                        handle_status_answer(primary_changes_[service], name,
+                                             status == nullptr ? std::nullopt
+                                                               : std::optional(*status),
+                                             requested_at);
                     }
                 };
                 requests_.request_status(*instance, on_answer);
             },
+            [&](const request_holder_status& it) {
+                const auto on_answer = [this, service, holder = it.holder,
+                                        requested_at =
+                                            monotonic_clock::now()](const status_result& res) {
+                    handle_holder_status(primary_changes_[service], holder, res, requested_at,
+                                         monotonic_clock::now());
+                };
+                requests_.request_status({.instance = it.holder.instance,
+                                          .service = service,
+                                          .address = it.holder.address},
+                                         on_answer);
+            },
             [&](const request_promotion& it) {
                 log_event(event_id::promotion_started, {{"service", service},
                                                         {"instance", it.instance},
--- a/core/failover/holder_tracking.cpp
+++ b/core/failover/holder_tracking.cpp
@@ -4,6 +4,20 @@
 
 namespace balsamdrift {
 
+namespace {
+
+/// True if a later incarnation of the instance reports from the same address.
+bool has_started_again(const std::vector<known_instance>& instances, const commit_holder& holder)
+{
+    return std::any_of(instances.begin(), instances.end(), [&](const known_instance& other) {
+        const instance_heartbeat& it = other.last_heartbeat;
+        return it.instance == holder.instance && it.address == holder.address &&
+               it.born_ms > holder.born_ms;
+    });
+}
+
+}  // namespace
+
 commit_holder holder_of(const instance_heartbeat& it)
 {
     return {it.instance, it.born_ms, it.address, it.leaving};
@@ -43,16 +57,23 @@
     for (const known_instance& it : instances) {
         holders.insert(holder_of(it.last_heartbeat));
     }
-    std::map<commit_holder, time_point> departed_at;
+    std::map<commit_holder, departed_holder> departed;
     for (const commit_holder& it : recorded) {
         if (find_holder(instances, it) != nullptr) {
             continue;
         }
         holders.insert(it);
-        const auto known = tracking.departed_at.find(it);
-        departed_at[it] = known == tracking.departed_at.end() ? now : known->second;
+        const auto known = tracking.departed.find(it);
+        departed_holder& kept = departed[it];
+        kept = known == tracking.departed.end() ? departed_holder{.last_heard_at = now}
+                                                : std::move(known->second);
+        if (!kept.superseded && has_started_again(instances, it)) {
+            kept.superseded = true;
+            kept.answer.reset();
+            kept.ended_at = now;
+        }
     }
-    tracking.departed_at = std::move(departed_at);
+    tracking.departed = std::move(departed);
     return holders;
 }
 
--- a/core/failover/holder_tracking.h
+++ b/core/failover/holder_tracking.h
@@ -21,11 +21,27 @@
 /// The newest status of each instance, by name.
 using status_answers = std::map<std::string, dated_status>;
 
+/// A recorded holder that is not in the directory. It may run all the same: its reports may go to a
+/// member that cannot pass them on, or be taken for those of an earlier incarnation. It is asked
+/// directly, at its recorded address.
+struct departed_holder {
+    /// When it last answered, or if it has not, when this leader first missed it.
+    time_point last_heard_at{};
+    /// Its newest answer.
+    std::optional<dated_status> answer;
+    /// When it was known not to run any more. Unset again by an answer.
+    std::optional<time_point> ended_at;
+    /// True once a later incarnation has reported from the same address. It would answer in place
+    /// of this one, so this one is not asked any more.
+    bool superseded = false;
+    /// When the newest request was sent.
+    std::optional<time_point> requested_at;
+};
+
 /// What the leader knows about holders that have left the directory. Not replicated: a new leader
 /// starts with an empty state.
 struct holder_tracking {
-    /// When this leader first missed each recorded holder in the directory.
-    std::map<commit_holder, time_point> departed_at;
+    std::map<commit_holder, departed_holder> departed;
     /// Status of the serving primary, with which the answers of its replicas are compared.
     std::optional<dated_status> primary_sample;
 };
@@ -43,7 +59,8 @@
                                   const commit_holder& holder);
 
 /// The holders that should be recorded: the instances in the directory, and the recorded ones that
-/// have left it. Notes when holders departed.
+/// have left it. Notes which holders departed. One whose name and address a later incarnation has
+/// does not run any more.
 commit_holders holders_to_record(holder_tracking& tracking, const commit_holders& recorded,
                                  const std::vector<known_instance>& instances, time_point now);
 
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -20,7 +20,7 @@
                               .phase_since = now,
                               .last_served_at = state.last_served_at,
                               .born_ms = state.born_ms,
-                              .holders = {.departed_at = state.holders.departed_at},
+                              .holders = {.departed = std::move(state.holders.departed)},
                               .holders_proposed_at = state.holders_proposed_at,
                               .newest_term = std::max(state.newest_term, record.newest_term),
                               .blocked_evacuation_reported = state.blocked_evacuation_reported};
@@ -120,17 +120,40 @@
 /// else is done.
 constexpr milliseconds proposal_timeout(1000);
 
-/// Forgets the holders that departed once enough replicas of the serving primary have received what
-/// it had after their departure.
+/// Asks the departed holders whether they still run, and for their position.
+void request_departed_holders(primary_change_state& state, actions& out,
+                              const primary_change_view& view,
+                              const primary_change_options& options, time_point now)
+{
+    const bool serving = view.record.phase == primary_phase::serving;
+    for (auto& [holder, it] : state.holders.departed) {
+        const duration interval =
+            serving && it.answer ? options.slow_status_interval : options.status_interval;
+        const bool due = !it.requested_at || now - *it.requested_at >= interval;
+        if (due && !it.superseded) {
+            it.requested_at = now;
+            out.push_back(request_holder_status{holder});
+        }
+    }
+}
+
+/// Forgets the departed holders that do not run any more once enough replicas of the serving
+/// primary have received what it had after their end. One that may still run could acknowledge
+/// later commits alone.
 void forget_covered_holders(primary_change_state& state, actions& out,
                             const primary_change_view& view, const primary_change_options& options,
                             commit_holders& holders, time_point now)
 {
-    time_point since{};
-    for (const auto& [holder, departed_at] : state.holders.departed_at) {
-        since = std::max(since, departed_at);
+    std::optional<time_point> since;
+    for (const auto& [holder, it] : state.holders.departed) {
+        if (it.ended_at) {
+            since = std::max(since.value_or(*it.ended_at), *it.ended_at);
+        }
+    }
+    if (!since) {
+        return;
     }
-    take_primary_sample(state.holders, state.status_answers, view.record.instance, since);
+    take_primary_sample(state.holders, state.status_answers, view.record.instance, *since);
     int caught_up = 0;
     for (const known_instance& it : view.instances) {
         const std::string& name = it.last_heartbeat.instance;
@@ -140,7 +163,8 @@
     }
     if (caught_up >= view.synchronous_replicas) {
         std::erase_if(holders, [&](const commit_holder& it) {
-            return state.holders.departed_at.contains(it);
+            const auto departed = state.holders.departed.find(it);
+            return departed != state.holders.departed.end() && departed->second.ended_at;
         });
         state.holders.primary_sample.reset();
         // An answer of the primary makes the next request to it wait, which would delay the
@@ -156,11 +180,12 @@
 {
     commit_holders holders = holders_to_record(state.holders, view.holders, view.instances, now);
     std::erase_if(holders, [&](const commit_holder& it) {
-        const auto departed = state.holders.departed_at.find(it);
-        return departed != state.holders.departed_at.end() &&
-               now - departed->second > options.holder_timeout;
+        const auto departed = state.holders.departed.find(it);
+        return departed != state.holders.departed.end() &&
+               now - departed->second.last_heard_at > options.holder_timeout;
     });
-    if (view.record.phase == primary_phase::serving && !state.holders.departed_at.empty()) {
+    request_departed_holders(state, out, view, options, now);
+    if (view.record.phase == primary_phase::serving) {
         forget_covered_holders(state, out, view, options, holders, now);
     }
     const bool proposed =
@@ -391,6 +416,25 @@
     state.newest_term = std::max(state.newest_term, answer->term);
 }
 
+void handle_holder_status(primary_change_state& state, const commit_holder& holder,
+                          const status_result& result, time_point requested_at, time_point now)
+{
+    const auto found = state.holders.departed.find(holder);
+    if (found == state.holders.departed.end() || found->second.superseded) {
+        return;
+    }
+    departed_holder& it = found->second;
+    if (const auto* const status = std::get_if<instance_status>(&result)) {
+        it.answer = dated_status{*status, requested_at};
+        it.last_heard_at = now;
+        it.ended_at.reset();
+        state.newest_term = std::max(state.newest_term, status->term);
+    }
+    else if (std::get<status_failure>(result) == status_failure::not_running && !it.ended_at) {
+        it.ended_at = now;
+    }
+}
+
 int failed_status_requests(const primary_change_state& state, const std::string& instance)
 {
     const auto it = state.failed_status_requests.find(instance);
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -39,8 +39,8 @@
     /// How long a planned change waits for a replica to receive all that the old primary has.
     duration handover_timeout = milliseconds(1500);
     /// With synchronous replicas, how long an instance that may hold an acknowledged commit is
-    /// waited for after it left the directory, which a silent one does after 15 s. Partitions of up
-    /// to 20 s are expected to heal.
+    /// waited for after it left the directory, which a silent one does after 15 s, and was last
+    /// heard. Partitions of up to 20 s are expected to heal.
     duration holder_timeout = seconds(15);
     /// A promotion request that the platform did not clearly accept is repeated after this.
     duration promotion_retry_interval = milliseconds(250);
@@ -143,6 +143,11 @@
     std::string instance;
 };
 
+/// Action: request the status of a holder that is not in the directory, at its recorded address.
+struct request_holder_status {
+    commit_holder holder;
+};
+
 /// Action: request the promotion of an instance from the platform.
 struct request_promotion {
     std::string instance;
@@ -173,9 +178,9 @@
 };
 
 /// An action that the caller of advance() must perform.
-using primary_action =
-    std::variant<propose_phase, request_status, request_promotion, request_step_down,
-                 report_blocked_evacuation, propose_holders, report_missing_holder>;
+using primary_action = std::variant<propose_phase, request_status, request_holder_status,
+                                    request_promotion, request_step_down, report_blocked_evacuation,
+                                    propose_holders, report_missing_holder>;
 
 /// Decides what to do next for the primary of one service. Must be called periodically; the
 /// functions below only update the state for the next call.
@@ -194,6 +199,22 @@
 void handle_status_answer(primary_change_state& state, const std::string& instance,
                           const std::optional<instance_status>& answer, time_point requested_at);
 
+/// Why a status request has no answer.
+enum class status_failure : std::uint8_t {
+    /// The instance refused the request or did not reply in time.
+    no_answer,
+    /// The machine at the address answered, and the instance does not run there.
+    not_running,
+};
+
+/// Result of a status request.
+using status_result = std::variant<status_failure, instance_status>;
+
+/// Handles the result of a request to a holder that is not in the directory, sent at
+/// `requested_at`.
+void handle_holder_status(primary_change_state& state, const commit_holder& holder,
+                          const status_result& result, time_point requested_at, time_point now);
+
 /// How the platform answered a promotion request.
 enum class promotion_answer : std::uint8_t {
     accepted,
--- a/core/failover/successor_choice.cpp
+++ b/core/failover/successor_choice.cpp
@@ -53,6 +53,16 @@
     return usable ? &it->second.status : nullptr;
 }
 
+/// The answer of a holder that is not in the directory; null if it has none of this choice.
+const instance_status* status_of_departed(const primary_change_state& state,
+                                          const commit_holder& holder)
+{
+    const auto it = state.holders.departed.find(holder);
+    const bool usable = it != state.holders.departed.end() && it->second.answer &&
+                        it->second.answer->requested_at >= state.phase_since;
+    return usable ? &it->second.answer->status : nullptr;
+}
+
 /// The replica with the newest received position among those that answered, a warm one if there is
 /// a choice, or null.
 const known_instance* most_advanced_replica(const primary_change_state& state,
@@ -137,8 +147,9 @@
     std::vector<commit_holder> missing;
     for (const commit_holder& it : all) {
         const known_instance* const log = find_log_of(view.instances, it);
-        const bool heard =
-            log != nullptr && status_of(state, log->last_heartbeat.instance) != nullptr;
+        const bool heard = log != nullptr
+                               ? status_of(state, log->last_heartbeat.instance) != nullptr
+                               : status_of_departed(state, it) != nullptr;
         if (it.instance != predecessor_of(view.record) && !heard) {
             missing.push_back(it);
         }
@@ -146,7 +157,7 @@
     return missing;
 }
 
-/// The newest position that any instance has received.
+/// The newest position that any instance has received, in the directory or not.
 log_position newest_received(const primary_change_state& state, const primary_change_view& view)
 {
     log_position newest;
@@ -155,6 +166,11 @@
             newest = std::max(newest, status->received);
         }
     }
+    for (const auto& [holder, it] : state.holders.departed) {
+        if (const auto* const status = status_of_departed(state, holder)) {
+            newest = std::max(newest, status->received);
+        }
+    }
     return newest;
 }
 
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -40,6 +40,10 @@
     std::vector<std::string> promoted;
     std::vector<std::string> stepped_down;
     int status_requests = 0;
+    /// Requests to holders that are not in the directory.
+    int holder_status_requests = 0;
+    /// Instances whose heartbeats do not arrive.
+    std::set<std::string> unheard;
     std::vector<primary_phase> phases;
     int blocked_reports = 0;
     /// True while instance a announces that it is leaving.
@@ -102,6 +106,7 @@
                         state, it.instance,
                         answers ? std::optional(statuses[it.instance]) : std::nullopt, now);
                 },
+                [&](const request_holder_status& it) { ask_holder(it.holder); },
                 [&](const request_promotion& it) {
                     promoted.push_back(it.instance);
                     if (platform_delays.empty()) {
@@ -119,6 +124,22 @@
             action);
     }
 
+    /// An instance that has ended refuses the request; one that is down is silent.
+    void ask_holder(const commit_holder& holder)
+    {
+        ++holder_status_requests;
+        const auto it = up.find(holder.instance);
+        if (it == up.end()) {
+            handle_holder_status(state, holder, status_failure::not_running, now, now);
+        }
+        else if (!it->second || busy.contains(holder.instance)) {
+            handle_holder_status(state, holder, status_failure::no_answer, now, now);
+        }
+        else {
+            handle_holder_status(state, holder, statuses[holder.instance], now, now);
+        }
+    }
+
     void carry_out_promotion(const std::string& name)
     {
         const promotion_answer answer =
@@ -148,15 +169,28 @@
         handle_entry_report(state, view.record, "a", true, std::nullopt, now);
     }
 
-    /// The instance ends and deregisters.
-    void deregister(const std::string& name)
+    /// The directory forgets the instance, whether it runs or not.
+    void remove_from_directory(const std::string& name)
     {
-        up.erase(name);
         std::erase_if(view.instances, [&](const known_instance& other) {
             return other.last_heartbeat.instance == name;
         });
     }
 
+    /// The instance ends and deregisters.
+    void deregister(const std::string& name)
+    {
+        up.erase(name);
+        remove_from_directory(name);
+    }
+
+    /// The instance runs on, but the directory loses it and receives no further heartbeat of it.
+    void hide(const std::string& name)
+    {
+        unheard.insert(name);
+        remove_from_directory(name);
+    }
+
     /// Another instance starts at the address of one that has left, with its log.
     void start_successor(const std::string& name, const std::string& left)
     {
@@ -175,7 +209,7 @@
             carry_out_due_promotions();
             if ((now - start) % seconds(1) == duration{0}) {
                 for (const auto& [name, alive] : up) {
-                    if (alive) {
+                    if (alive && !unheard.contains(name)) {
                         receive_heartbeat(name);
                     }
                 }
@@ -568,6 +602,63 @@
     CHECK(it.promoted.empty());
 }
 
+// Guards against the loss of commits that a replica acknowledged while its reports did not arrive.
+TEST_CASE("a replica that runs outside the directory is not passed over", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.hide("c");
+    // The other replica catches up, and then falls behind what c acknowledges.
+    it.statuses["b"].received = {1, 100};
+    const bool new_leader = GENERATE(false, true);
+    it.run(seconds(GENERATE(1, 40)));
+    it.statuses["a"].received = {1, 110};
+    it.statuses["c"].received = {1, 110};
+    if (new_leader) {
+        it.state = {};
+    }
+    it.lose_primary();
+    it.run(seconds(10));
+    CHECK(it.promoted.empty());
+    it.unheard.clear();
+    it.run(seconds(4));
+    CHECK(it.view.record.instance == "c");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
+// Guards against the loss of commits that a replica acknowledged behind a partition.
+TEST_CASE("a silent replica is not forgotten at once when the others have caught up", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.up["c"] = false;
+    it.hide("c");
+    it.statuses["b"].received = {1, 100};
+    it.run(seconds(5));
+    it.lose_primary();
+    it.run(seconds(9));
+    CHECK(it.promoted.empty());
+    it.run(seconds(4));
+    CHECK(it.view.record.instance == "b");
+}
+
+// Guards against two requests a second and more, for as long as an instance cannot be heard.
+TEST_CASE("a replica that runs outside the directory is asked at a low rate", "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    it.hide("c");
+    it.run(seconds(2));
+    const int before = it.holder_status_requests;
+    const int others_before = it.status_requests;
+    it.run(seconds(15));
+    CHECK(it.holder_status_requests - before <= 10);
+    CHECK(it.status_requests == others_before);
+}
+
 TEST_CASE("a silent holder is given up after its timeout", "[primary]")
 {
     service_fixture it;
--- a/pooling/instance_connection.h
+++ b/pooling/instance_connection.h
@@ -24,6 +24,8 @@
 enum class connection_end_reason : std::uint8_t {
     /// The connection could not be established, so nothing was sent.
     unreachable,
+    /// The machine answered that nothing listens at the address, so nothing was sent.
+    not_listening,
     /// The instance refused the connection with an error.
     refused,
     /// The connection broke after it was established.
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -385,6 +385,7 @@
             record_refusal(*service, *pool, error.code, known ? route_of(*refused).priority : 0);
         }
         if (reason == connection_end_reason::unreachable ||
+            reason == connection_end_reason::not_listening ||
             (reason == connection_end_reason::broken && !connection->accepted)) {
             record_unreachable(*pool, options_.pool, hooks_.now());
         }
@@ -396,9 +397,9 @@
         }
         log_event(event_id::connection_discarded,
                   {{"instance", connection->instance},
-                   {"reason", reason == connection_end_reason::refused ? "refused: " + error.text
-                              : reason == connection_end_reason::unreachable ? "unreachable"
-                                                                             : "broken"}});
+                   {"reason", reason == connection_end_reason::refused  ? "refused: " + error.text
+                              : reason == connection_end_reason::broken ? "broken"
+                                                                        : "unreachable"}});
     }
     caller_session* const session = find_session(connection->session);
     const bool in_use = session != nullptr && session->transaction &&
