control: a heartbeat is acknowledged once the leader has it

A member that was cut off from the others answered each heartbeat with 200. The instance kept reporting there, and the leader, which got none of the reports, took it for lost after 15 s.

Cause: platform_api answered before, and regardless of whether, the heartbeat reached the leader. The other calls there (draining, deregister, evacuation, configuration) are answered once they are committed.

Change: a heartbeat goes the way of the submissions. The member passes it on, repeats it after 300 ms, and answers 503 if no leader has confirmed it after 850 ms, so the instance calls the next member. A leader of an earlier build records heartbeats but confirms none; while one leads, instances that report to members of this build get 503 and go on to the next member.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -548,11 +548,14 @@
     }
 }
 
-void control_service::handle(const relayed_heartbeat& it, const std::string&)
+void control_service::handle(const relayed_heartbeat& it, const std::string& sender)
 {
     remember_domain(it.heartbeat.failure_domain);
     if (holds_leadership(*consensus_, monotonic_clock::now())) {
         coordinator_.handle_heartbeat(it.heartbeat, monotonic_clock::now());
+        if (it.id != 0) {
+            send_message(sender, relayed_command_result{.id = it.id, .settled = true});
+        }
     }
 }
 
@@ -588,23 +591,6 @@
     }
 }
 
-void control_service::handle_heartbeat(const instance_heartbeat& it)
-{
-    QMetaObject::invokeMethod(
-        this,
-        [this, it] {
-            const time_point now = monotonic_clock::now();
-            remember_domain(it.failure_domain);
-            if (consensus_ && holds_leadership(*consensus_, now)) {
-                coordinator_.handle_heartbeat(it, now);
-            }
-            else if (const std::string leader = leader_address(); !leader.empty()) {
-                send_message(leader, relayed_heartbeat{it});
-            }
-        },
-        Qt::QueuedConnection);
-}
-
 void control_service::handle_deregistration(const std::string& instance, std::int64_t born_ms)
 {
     QMetaObject::invokeMethod(
--- a/control/control_service.h
+++ b/control/control_service.h
@@ -93,9 +93,10 @@
     /// Safe from any thread.
     void read_declared_configuration(submit_handler on_done);
 
-    /// Records a heartbeat if this member leads, otherwise forwards it to the leader. Safe from any
-    /// thread.
-    void handle_heartbeat(const instance_heartbeat& it);
+    /// Records a heartbeat if this member leads, otherwise forwards it to the leader. It is settled
+    /// once the leader has it. Safe from any thread.
+    void handle_heartbeat(
+        const instance_heartbeat& it, submit_handler on_done = [](bool, const std::string&) {});
 
     /// Removes an instance from the directory, here and on the leader, after the incarnation that
     /// started at `born_ms` deregistered. Safe from any thread.
@@ -129,6 +130,8 @@
     struct submission {
         /// Encoded registry_command; empty to read the declared configuration.
         std::string command;
+        /// Passed on in place of the command if it is set.
+        std::optional<instance_heartbeat> heartbeat;
         submit_handler on_done;
         time_point deadline{};
         /// When it was last passed to a leader; unset if it never was.
@@ -193,7 +196,8 @@
                     const lease_grant& grant);
     void send_message(const std::string& address, const lease_message& message);
     void send_leader_hint(const std::string& address);
-    void add_submission(std::string command, submit_handler on_done);
+    /// Takes the command or heartbeat, and its handler.
+    void add_submission(submission it);
     /// Passes a submission to the leader, which may be this member. Does nothing if none is known.
     void dispatch_submission(std::uint64_t id, submission& it, time_point now);
     void complete_submission(std::uint64_t id, bool settled, const std::string& text);
--- a/control/control_service_submissions.cpp
+++ b/control/control_service_submissions.cpp
@@ -34,26 +34,31 @@
 
 void control_service::submit(const registry_command& command, submit_handler on_done)
 {
-    add_submission(encode_command(command), std::move(on_done));
+    add_submission({.command = encode_command(command), .on_done = std::move(on_done)});
 }
 
 void control_service::read_declared_configuration(submit_handler on_done)
 {
-    add_submission({}, std::move(on_done));
+    add_submission({.on_done = std::move(on_done)});
 }
 
-void control_service::add_submission(std::string command, submit_handler on_done)
+void control_service::handle_heartbeat(const instance_heartbeat& it, submit_handler on_done)
+{
+    add_submission({.heartbeat = it, .on_done = std::move(on_done)});
+}
+
+void control_service::add_submission(submission added)
 {
     QMetaObject::invokeMethod(
         this,
-        [this, command = std::move(command), on_done = std::move(on_done)] {
+        [this, added = std::move(added)] {
             const time_point now = monotonic_clock::now();
             const std::uint64_t id = next_submission_++;
-            submission& it = submissions_
-                                 .emplace(id, submission{.command = command,
-                                                         .on_done = on_done,
-                                                         .deadline = now + submission_timeout})
-                                 .first->second;
+            submission& it = submissions_.emplace(id, added).first->second;
+            it.deadline = now + submission_timeout;
+            if (it.heartbeat) {
+                remember_domain(it.heartbeat->failure_domain);
+            }
             dispatch_submission(id, it, now);
             schedule_tick();
         },
@@ -64,6 +69,11 @@
 {
     if (consensus_ && holds_leadership(*consensus_, now)) {
         it.sent_at = now;
+        if (it.heartbeat) {
+            coordinator_.handle_heartbeat(*it.heartbeat, now);
+            complete_submission(id, true, {});
+            return;
+        }
         run_submission(it.command, [this, id](bool settled, const std::string& text) {
             if (settled || !text.empty()) {
                 complete_submission(id, settled, text);
@@ -74,7 +84,8 @@
     const std::string leader = leader_address();
     if (!leader.empty() && leader != fleet_.address()) {
         it.sent_at = now;
-        send_message(leader, relayed_command{id, it.command});
+        send_message(leader, it.heartbeat ? lease_message(relayed_heartbeat{*it.heartbeat, id})
+                                          : lease_message(relayed_command{id, it.command}));
     }
     else if (!consensus_) {
         // Nothing tells this member when there is a leader again, so the caller asks another one.
@@ -90,11 +101,16 @@
     }
     const submission done = std::move(found->second);
     submissions_.erase(found);
-    log_event(event_id::submission_settled, {{"submission", std::to_string(id)},
-                                             {"request", done.command.empty() ? "read" : "change"},
-                                             {"settled", settled ? "yes" : "no"},
-                                             {"sent", done.sent_at ? "yes" : "no"},
-                                             {"leader", leader_address()}});
+    // Each instance reports about once a second, so only what fails is logged of that.
+    if (!done.heartbeat || !settled) {
+        log_event(event_id::submission_settled, {{"submission", std::to_string(id)},
+                                                 {"request", done.heartbeat         ? "heartbeat"
+                                                             : done.command.empty() ? "read"
+                                                                                    : "change"},
+                                                 {"settled", settled ? "yes" : "no"},
+                                                 {"sent", done.sent_at ? "yes" : "no"},
+                                                 {"leader", leader_address()}});
+    }
     done.on_done(settled, text);
 }
 
--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -298,6 +298,31 @@
     CHECK(!group.is_evacuated_at(successor, "brest-port"));
 }
 
+// Guards against an instance that keeps reporting to a member whose leader does not hear of it.
+TEST_CASE("a heartbeat is settled by the leader, whichever member received it", "[control]")
+{
+    group_fixture group;
+    const std::size_t leader = group.wait_for_leader();
+    const std::size_t follower = (leader + 1) % group.processes.size();
+    const std::size_t other = (leader + 2) % group.processes.size();
+    const auto is_settled = [&] {
+        std::optional<bool> result;
+        group.processes[follower]->control().handle_heartbeat(
+            {.instance = "i1", .failure_domain = "saint-malo"},
+            [&](bool settled, const std::string&) { result = settled; });
+        for (int tries = 0; tries < 40 && !result; ++tries) {
+            run_events(milliseconds(50));
+        }
+        REQUIRE(result);
+        return *result;
+    };
+    CHECK(is_settled());
+    CHECK(group.submit(leader, evacuate_domain{"saint-malo"}).first);
+    group.processes[leader].reset();
+    group.processes[other].reset();
+    CHECK(!is_settled());
+}
+
 TEST_CASE("an order for an unknown domain is refused by every member and changes nothing",
           "[control]")
 {
--- a/fleet/lease_message.h
+++ b/fleet/lease_message.h
@@ -78,7 +78,10 @@
 /// A control member forwards an instance's heartbeat to the leader.
 struct relayed_heartbeat {
     instance_heartbeat heartbeat;
-    MSGPACK_DEFINE(heartbeat)
+    /// Matches the leader's relayed_command_result to the heartbeat. Zero if no result is expected;
+    /// builds without this member send none.
+    std::uint64_t id = 0;
+    MSGPACK_DEFINE(heartbeat, id)
 };
 
 /// A control member forwards an operator's or an instance's command to the leader.
@@ -90,7 +93,7 @@
     MSGPACK_DEFINE(id, command)
 };
 
-/// The leader's answer to a relayed_command.
+/// The leader's answer to a relayed_command or relayed_heartbeat.
 struct relayed_command_result {
     std::uint64_t id = 0;
     /// False when the leader does not know the command's result; it may have taken effect or not.
