core: a repeated promotion request does not undo the next change of primary

The platform took 3 s for a promotion, which was requested again after 2 s. The instance served, left, and another was promoted; then the second request was carried out.

Cause: the progress of a promotion was dropped as soon as the instance served, by the same leader, and a new leader never knew it.

Change: requests are counted. If more were sent than took effect, no other instance is requested until the platform cannot carry them out any more. A leaving primary serves on meanwhile. The record keeps the name for the next leader. One request whose term has risen delays nothing.

Ruled out: fencing. The platform does not check the token here, and both requests carry that of the same leader.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -295,7 +295,7 @@
                             milliseconds_text(monotonic_clock::now() -
                                               primary_changes_[service].last_served_at)}});
                 propose_(change_primary{service, record.epoch, it.instance, it.phase, it.planned,
-                                        it.newest_term});
+                                        it.newest_term, it.late_promotion});
             },
             [&](const request_status& it) {
                 const instance_heartbeat* const instance = find_instance(it.instance);
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -8,10 +8,22 @@
 namespace balsamdrift {
 namespace {
 
+/// True if the platform may still promote another instance than this one, for a change of primary
+/// that is over.
+bool is_late_promotion_possible(const primary_change_state& state, const std::string& instance,
+                                time_point now)
+{
+    return std::any_of(
+        state.late_promotions.begin(), state.late_promotions.end(),
+        [&](const auto& other) { return other.first != instance && now < other.second; });
+}
+
 /// Resets the state when the record has entered another phase. What does not depend on the phase is
 /// kept: when the primary last served an entry, the newest term, the incarnations, departed
-/// holders, whether a blocked evacuation was reported, and during a change the excluded replicas.
-void enter_phase(primary_change_state& state, const primary_record& record, time_point now)
+/// holders, late promotions, whether a blocked evacuation was reported, and during a change the
+/// excluded replicas.
+void enter_phase(primary_change_state& state, const primary_record& record,
+                 const primary_change_options& options, time_point now)
 {
     if (state.epoch == record.epoch) {
         return;
@@ -22,15 +34,23 @@
                               .born_ms = state.born_ms,
                               .holders = {.departed = std::move(state.holders.departed)},
                               .holders_proposed_at = state.holders_proposed_at,
+                              .late_promotions = std::move(state.late_promotions),
                               .newest_term = std::max(state.newest_term, record.newest_term),
                               .blocked_evacuation_reported = state.blocked_evacuation_reported};
     const bool first_view_of_leader = state.epoch == 0;
+    if (first_view_of_leader && !record.late_promotion.empty()) {
+        next.late_promotions[record.late_promotion] =
+            now + options.promotion_request_timeout + options.unclear_promotion_lifetime;
+    }
     if (record.phase != primary_phase::serving) {
         next.excluded_replicas = state.excluded_replicas;
-        next.other_may_be_promoted = state.other_may_be_promoted || first_view_of_leader;
+        const std::string& last = record.predecessor.empty() ? record.instance : record.predecessor;
+        next.other_may_be_promoted = state.other_may_be_promoted || first_view_of_leader ||
+                                     is_late_promotion_possible(next, last, now);
     }
     if (record.phase == primary_phase::chosen && first_view_of_leader) {
         next.promotion.unclear_at = now;
+        next.promotion.requests = 2;
     }
     state = std::move(next);
 }
@@ -237,7 +257,10 @@
     }
     const bool evacuated = view.evacuated.contains(view.record.instance);
     const bool leaving = primary != nullptr && primary->last_heartbeat.leaving;
-    if (evacuated || (leaving && may_hand_over(state, out, view, options, now))) {
+    // Until a late promotion of this primary is impossible, none else can be promoted. It serves on
+    // meanwhile.
+    const bool may_change = !is_late_promotion_possible(state, {}, now);
+    if (may_change && (evacuated || (leaving && may_hand_over(state, out, view, options, now)))) {
         propose(state, out, {view.record.instance, primary_phase::suspended, true}, now);
         return;
     }
@@ -280,6 +303,31 @@
     return it.awaiting_answer || accepted || unclear;
 }
 
+/// Notes until when a request for the chosen instance, which leads now, may still be carried out.
+/// If its term has risen, one of the requests took effect, and each of the others may do so. If
+/// not, it has led all the time, and no request took effect.
+void note_late_promotion(primary_change_state& state, const std::string& instance,
+                         bool term_has_risen, const primary_change_options& options)
+{
+    const promotion_progress& it = state.promotion;
+    if (it.requests <= (term_has_risen ? 1 : 0)) {
+        return;
+    }
+    time_point until{};
+    if (it.awaiting_answer) {
+        until = *it.requested_at + options.promotion_request_timeout +
+                options.unclear_promotion_lifetime;
+    }
+    if (it.unclear_at) {
+        until = std::max(until, *it.unclear_at + options.unclear_promotion_lifetime);
+    }
+    if (it.accepted_at) {
+        until = std::max(until, *it.accepted_at + options.promotion_effect_limit);
+    }
+    time_point& noted = state.late_promotions[instance];
+    noted = std::max(noted, until);
+}
+
 bool is_promotion_request_due(const promotion_progress& it, const primary_change_options& options,
                               time_point now)
 {
@@ -334,6 +382,8 @@
     if (answer != state.status_answers.end() &&
         leads_newest_term(state, view.record, answer->second.status, options, now)) {
         state.newest_term = std::max(state.newest_term, answer->second.status.term);
+        note_late_promotion(state, name, answer->second.status.term > view.record.newest_term,
+                            options);
         propose(state, out, {name, primary_phase::serving, false}, now);
         return;
     }
@@ -343,8 +393,11 @@
         propose(state, out, {name, primary_phase::suspended, false}, now);
         return;
     }
-    if (!state.chosen_restarted && is_promotion_request_due(state.promotion, options, now)) {
+    const bool may_request =
+        !state.chosen_restarted && !is_late_promotion_possible(state, name, now);
+    if (may_request && is_promotion_request_due(state.promotion, options, now)) {
         state.promotion.requested_at = now;
+        ++state.promotion.requests;
         state.promotion.awaiting_answer = true;
         state.promotion.accepted = false;
         state.other_may_be_promoted |= name != view.record.predecessor;
@@ -365,7 +418,8 @@
 std::vector<primary_action> advance(primary_change_state& state, const primary_change_view& view,
                                     const primary_change_options& options, time_point now)
 {
-    enter_phase(state, view.record, now);
+    enter_phase(state, view.record, options, now);
+    std::erase_if(state.late_promotions, [&](const auto& it) { return now >= it.second; });
     actions out;
     forget_restarted(state, view);
     if (!view.record.instance.empty()) {
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -52,6 +52,8 @@
     /// A promotion request without a clear answer may still be carried out for this long: twice the
     /// time after which a request to a slow platform is given up.
     duration unclear_promotion_lifetime = milliseconds(4000);
+    /// Time after which a request to the platform is given up (platform_client).
+    duration promotion_request_timeout = milliseconds(2000);
     /// Time until the first status request that confirms a promotion, and interval between them.
     duration confirmation_interval = milliseconds(400);
 };
@@ -66,6 +68,9 @@
     bool accepted = false;
     /// When a request was last accepted.
     std::optional<time_point> accepted_at;
+    /// Number of requests. A new leader that finds the instance chosen counts those of the earlier
+    /// leader as two, since it may have repeated its request.
+    int requests = 0;
     /// When a request last ended without a clear answer. A new leader starts with the time at which
     /// it found the instance chosen, because a request of the earlier leader may be under way.
     std::optional<time_point> unclear_at;
@@ -100,6 +105,9 @@
     /// Replicas that could not be promoted. They are tried again once no other replica is left.
     std::set<std::string> excluded_replicas;
     promotion_progress promotion;
+    /// Until when the platform may still promote an instance whose change of primary is over, by
+    /// instance. It was requested again before the first request took effect.
+    std::map<std::string, time_point> late_promotions;
     /// True if the chosen instance has started again since, perhaps without its log.
     bool chosen_restarted = false;
     /// When the next phase was proposed, until the record enters it.
@@ -136,6 +144,8 @@
     bool planned = false;
     /// Highest term that an instance reported.
     std::uint64_t newest_term = 0;
+    /// See primary_record.
+    std::string late_promotion;
 };
 
 /// Action: request the status of an instance.
--- a/core/failover/primary_change_steps.cpp
+++ b/core/failover/primary_change_steps.cpp
@@ -27,6 +27,11 @@
 {
     state.proposed_at = now;
     phase.newest_term = state.newest_term;
+    for (const auto& [name, until] : state.late_promotions) {
+        if (now < until) {
+            phase.late_promotion = name;
+        }
+    }
     out.push_back(std::move(phase));
 }
 
--- a/core/registry/primary_record.h
+++ b/core/registry/primary_record.h
@@ -42,9 +42,14 @@
     std::string predecessor;
     /// Highest term that an instance had reported when the record was changed.
     std::uint64_t newest_term = 0;
+    /// An instance whose promotion was requested more often than it took effect, so that the
+    /// platform may have been about to promote it once more when the record was changed; empty if
+    /// there is none.
+    std::string late_promotion;
 
     bool operator==(const primary_record&) const = default;
-    MSGPACK_DEFINE(instance, phase, planned, epoch, generation, predecessor, newest_term)
+    MSGPACK_DEFINE(instance, phase, planned, epoch, generation, predecessor, newest_term,
+                   late_promotion)
 };
 
 }  // namespace balsamdrift
--- a/core/registry/registry.cpp
+++ b/core/registry/registry.cpp
@@ -419,7 +419,8 @@
               .epoch = state.index,
               .generation = record.generation + (promoted ? 1 : 0),
               .predecessor = std::move(predecessor),
-              .newest_term = std::max(record.newest_term, it.newest_term)};
+              .newest_term = std::max(record.newest_term, it.newest_term),
+              .late_promotion = it.late_promotion};
     return accepted(record.epoch);
 }
 
--- a/core/registry/registry_command.h
+++ b/core/registry/registry_command.h
@@ -195,7 +195,9 @@
     bool planned = false;
     /// Highest term that an instance reported.
     std::uint64_t newest_term = 0;
-    MSGPACK_DEFINE(service, expected_epoch, instance, phase, planned, newest_term)
+    /// See primary_record.
+    std::string late_promotion;
+    MSGPACK_DEFINE(service, expected_epoch, instance, phase, planned, newest_term, late_promotion)
 };
 
 /// Records which leader used the reserve of the customers' rates, unless the record has changed in
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -96,7 +96,8 @@
                                    .epoch = view.record.epoch + 1,
                                    .generation = view.record.generation + (finished ? 1 : 0),
                                    .predecessor = predecessor,
-                                   .newest_term = it.newest_term};
+                                   .newest_term = it.newest_term,
+                                   .late_promotion = it.late_promotion};
                     phases.push_back(it.phase);
                 },
                 [&](const request_status& it) {
@@ -422,6 +423,63 @@
     }
 }
 
+// Guards against a second request for a promotion that the platform carries out after the next
+// change of primary: the instance would replace the new primary without notice.
+TEST_CASE("no other instance is promoted while a repeated request may still be carried out",
+          "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.platform_answer = promotion_answer::unclear;
+    it.lose_primary();
+    it.run(milliseconds(1500));
+    REQUIRE(it.promoted.size() > 1);
+    // The first of these requests takes effect.
+    it.statuses["c"].is_primary = true;
+    it.statuses["c"].term = 2;
+    it.run(seconds(1));
+    REQUIRE(it.view.record.instance == "c");
+    REQUIRE(it.view.record.phase == primary_phase::serving);
+    it.promoted.clear();
+    it.platform_answer = promotion_answer::accepted;
+    it.statuses["b"].received = it.statuses["c"].received;
+    const bool new_leader = GENERATE(false, true);
+    if (new_leader) {
+        it.state = {};
+    }
+    SECTION("a leaving primary serves on meanwhile")
+    {
+        it.leaving = {"c"};
+        it.run(milliseconds(1500));
+        CHECK(it.view.record.phase == primary_phase::serving);
+    }
+    SECTION("a lost primary is replaced later")
+    {
+        it.up["c"] = false;
+        handle_entry_report(it.state, it.view.record, "c", true, std::nullopt, it.now);
+        it.run(milliseconds(1500));
+    }
+    CHECK(it.promoted.empty());
+    it.run(seconds(7));
+    REQUIRE(!it.promoted.empty());
+    CHECK(it.promoted.front() == "b");
+    CHECK(it.view.record.phase == primary_phase::serving);
+}
+
+// Guards against a gap for writes after a change of primary that went as usual.
+TEST_CASE("a promotion that was requested once does not delay the next change", "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.lose_primary();
+    it.run(seconds(2));
+    REQUIRE(it.view.record.instance == "c");
+    it.up["c"] = false;
+    handle_entry_report(it.state, it.view.record, "c", true, std::nullopt, it.now);
+    it.run(seconds(2));
+    CHECK(it.promoted == std::vector<std::string>{"c", "b"});
+}
+
 TEST_CASE("a replica that is lost after its promotion was accepted is replaced", "[primary]")
 {
     service_fixture it;
