core: a silent replica is asked, and stays or leaves by its answer

With synchronous replicas, a replica whose heartbeats do not arrive left the directory after 15 s although it answered control's status requests. It alone could have the newest commits, so that a lost primary was not replaced until a heartbeat arrived. One whose process had ended stayed for 15 s, and its log was waited for for 30 s.

An answer keeps an instance in the directory, so that it can be chosen. One whose machine answers that nothing listens leaves at once, is forgotten as a holder once the others have everything, and a loss of the primary does not wait for it. The recorded primary is left to the detection of its loss.

Sites without synchronous replicas send no such requests.

--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -84,6 +84,25 @@
     return it == directory_.instances.end() ? nullptr : &it->second.last_heartbeat;
 }
 
+void service_coordinator::handle_sign_of_life(const std::string& instance, bool is_recorded_primary,
+                                              const status_result& result)
+{
+    const auto it = directory_.instances.find(instance);
+    if (it == directory_.instances.end()) {
+        return;
+    }
+    // Still late, so that it is asked again.
+    const time_point late_since =
+        monotonic_clock::now() - primary_change_options{}.heartbeat_timeout;
+    if (std::holds_alternative<instance_status>(result)) {
+        record_sign_of_life(directory_, instance, late_since);
+    }
+    else if (std::get<status_failure>(result) == status_failure::not_running &&
+             !is_recorded_primary && it->second.last_heartbeat_at < late_since) {
+        remove_instance(directory_, instance, it->second.last_heartbeat.born_ms);
+    }
+}
+
 void service_coordinator::fill_directory(entry_instructions& instructions,
                                          std::uint64_t known_version) const
 {
@@ -304,10 +323,12 @@
                     return;
                 }
                 const std::uint64_t epoch = primary_changes_[service].epoch;
-                const auto on_answer = [this, service, epoch, name = it.instance,
+                const bool is_recorded = record.instance == it.instance;
+                const auto on_answer = [this, service, epoch, is_recorded, name = it.instance,
                                         requested_at =
                                             monotonic_clock::now()](const status_result& res) {
                     const auto* const status = std::get_if<instance_status>(&res);
+                    handle_sign_of_life(name, is_recorded, res);
                     if (primary_changes_[service].epoch == epoch) {
                         handle_status_answer(primary_changes_[service], name,
                                              status == nullptr ? std::nullopt
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -91,6 +91,10 @@
     void update_divided_connections(const registry& state);
     /// Statements per second that all entries together may start on each cold instance.
     std::map<std::string, int> warmup_limits(const registry& state) const;
+    /// Keeps an instance that answers in the directory although its heartbeats do not arrive, and
+    /// removes a replica that does not run. Whether a primary is lost is decided elsewhere.
+    void handle_sign_of_life(const std::string& instance, bool is_recorded_primary,
+                             const status_result& result);
     /// Newest heartbeat of an instance; null if it is not in the directory.
     const instance_heartbeat* find_instance(const std::string& instance) const;
 
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -194,6 +194,21 @@
     }
 }
 
+/// Requests the status of the instances whose heartbeats are late. One that answers stays in the
+/// directory, so that it can be chosen, and one that does not run leaves it.
+void request_late_instances(primary_change_state& state, actions& out,
+                            const primary_change_view& view, const primary_change_options& options,
+                            time_point now)
+{
+    for (const known_instance& it : view.instances) {
+        const std::string& name = it.last_heartbeat.instance;
+        if (name != view.record.instance &&
+            now - it.last_heartbeat_at > options.heartbeat_timeout) {
+            request_status_if_due(state, out, name, options.slow_status_interval, now);
+        }
+    }
+}
+
 /// Keeps the record of the instances that may hold acknowledged commits.
 void track_holders(primary_change_state& state, actions& out, const primary_change_view& view,
                    const primary_change_options& options, time_point now)
@@ -204,6 +219,7 @@
         return departed != state.holders.departed.end() &&
                now - departed->second.last_heard_at > options.holder_timeout;
     });
+    request_late_instances(state, out, view, options, now);
     request_departed_holders(state, out, view, options, now);
     if (view.record.phase == primary_phase::serving) {
         forget_covered_holders(state, out, view, options, holders, now);
--- a/core/instances/instance_directory.cpp
+++ b/core/instances/instance_directory.cpp
@@ -80,6 +80,15 @@
     return heartbeat_result::accepted;
 }
 
+void record_sign_of_life(instance_directory& directory, const std::string& instance,
+                         time_point heard_at)
+{
+    const auto it = directory.instances.find(instance);
+    if (it != directory.instances.end()) {
+        it->second.last_heartbeat_at = std::max(it->second.last_heartbeat_at, heard_at);
+    }
+}
+
 void remove_instance(instance_directory& directory, const std::string& instance,
                      std::int64_t born_ms)
 {
--- a/core/instances/instance_directory.h
+++ b/core/instances/instance_directory.h
@@ -96,6 +96,10 @@
 heartbeat_result record_heartbeat(instance_directory& directory,
                                   const instance_heartbeat& heartbeat, time_point now);
 
+/// Notes that an instance in the directory was heard at this time, other than by a heartbeat.
+void record_sign_of_life(instance_directory& directory, const std::string& instance,
+                         time_point heard_at);
+
 /// Removes an instance of which the incarnation that started at `born_ms` deregistered. A later
 /// incarnation stays.
 void remove_instance(instance_directory& directory, const std::string& instance,
