core: a replica that has lost its log does not answer for what it held; long cuts in the model

What callers saw: found by the drawn orders of faults once they had cuts of up to 20 s. A replica that control could not hear lost its log, started again and answered a status request with an empty log, while the primary was down. The answer counted for the incarnation of before, which alone had the last commit, and another replica was promoted without it (LOST).

Cause: a status answer does not name the incarnation.

Change: an empty log from an instance that control does not hear is not an answer for the recorded incarnation. What remains open: one that has received part of its log again before the primary is lost.

Model: cuts of one instance and of one or two of five members for up to 20 s, half of the orders with a cut that outlasts the directory and a crash of the primary near its end; instances that end for good on silent machines and on ones that refuse; late deregistrations; odd reports for another service; 0 to 2 synchronous replicas with 3 to 5 instances.

--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -494,15 +494,22 @@
         return;
     }
     departed_holder& it = found->second;
-    if (const auto* const status = std::get_if<instance_status>(&result)) {
+    const auto* const status = std::get_if<instance_status>(&result);
+    // The recorded incarnation has ended if nothing listens there any more, or if what answers
+    // holds nothing: it has started again without its log.
+    const bool ended = status == nullptr
+                           ? std::get<status_failure>(result) == status_failure::not_running
+                           : status->received == log_position{};
+    if (ended) {
+        it.answer.reset();
+        it.ended_at = it.ended_at.value_or(now);
+    }
+    else if (status != nullptr) {
         it.answer = dated_status{*status, requested_at};
         it.last_heard_at = now;
         it.ended_at.reset();
         state.newest_term = std::max(state.newest_term, status->term);
     }
-    else if (std::get<status_failure>(result) == status_failure::not_running && !it.ended_at) {
-        it.ended_at = now;
-    }
 }
 
 int failed_status_requests(const primary_change_state& state, const std::string& instance)
--- a/core/failover/successor_choice.cpp
+++ b/core/failover/successor_choice.cpp
@@ -130,10 +130,42 @@
     }
 }
 
+/// The newest position that any instance has received, in the directory or not.
+log_position newest_received(const primary_change_state& state, const primary_change_view& view)
+{
+    log_position newest;
+    for (const known_instance& it : view.instances) {
+        if (const auto* const status = status_of(state, it.last_heartbeat.instance)) {
+            newest = std::max(newest, status->received);
+        }
+    }
+    for (const auto& [holder, it] : state.holders.departed) {
+        if (const auto* const status = status_of_departed(state, holder)) {
+            newest = std::max(newest, status->received);
+        }
+    }
+    return newest;
+}
+
+/// True if the instance has answered for the incarnation that the directory knows. One whose
+/// heartbeats are late and that holds nothing, while others hold something, has started again
+/// without its log.
+bool has_answered(const primary_change_state& state, const known_instance& it,
+                  const log_position& newest, const primary_change_options& options, time_point now)
+{
+    const instance_status* const status = status_of(state, it.last_heartbeat.instance);
+    const bool late = now - it.last_heartbeat_at > options.heartbeat_timeout;
+    const bool lost_log =
+        status != nullptr && late && status->received == log_position{} && newest != log_position{};
+    return status != nullptr && !lost_log;
+}
+
 /// The recorded holders and the instances in the directory, without the old primary, whose log has
 /// not been heard.
 std::vector<commit_holder> missing_holders(const primary_change_state& state,
-                                           const primary_change_view& view)
+                                           const primary_change_view& view,
+                                           const primary_change_options& options,
+                                           const log_position& newest, time_point now)
 {
     commit_holders all;
     for (const known_instance& it : view.instances) {
@@ -147,9 +179,8 @@
     std::vector<commit_holder> missing;
     for (const commit_holder& it : all) {
         const known_instance* const log = find_log_of(view.instances, it);
-        const bool heard = log != nullptr
-                               ? status_of(state, log->last_heartbeat.instance) != nullptr
-                               : status_of_departed(state, it) != nullptr;
+        const bool heard = log != nullptr ? has_answered(state, *log, newest, options, now)
+                                          : status_of_departed(state, it) != nullptr;
         if (it.instance != predecessor_of(view.record) && !heard) {
             missing.push_back(it);
         }
@@ -157,23 +188,6 @@
     return missing;
 }
 
-/// The newest position that any instance has received, in the directory or not.
-log_position newest_received(const primary_change_state& state, const primary_change_view& view)
-{
-    log_position newest;
-    for (const known_instance& it : view.instances) {
-        if (const auto* const status = status_of(state, it.last_heartbeat.instance)) {
-            newest = std::max(newest, status->received);
-        }
-    }
-    for (const auto& [holder, it] : state.holders.departed) {
-        if (const auto* const status = status_of_departed(state, holder)) {
-            newest = std::max(newest, status->received);
-        }
-    }
-    return newest;
-}
-
 /// True if the old primary still is one and has all that the others have; false if it is gone, was
 /// replaced or lost its log.
 bool old_primary_has_everything(const primary_change_state& state, const primary_change_view& view,
@@ -234,7 +248,7 @@
     const duration waited = now - state.phase_since;
     const log_position needed = newest_received(state, view);
     const bool old_primary_runs = old_primary_has_everything(state, view, needed);
-    const auto missing = missing_holders(state, view);
+    const auto missing = missing_holders(state, view, options, needed, now);
     // A commit is acknowledged by `synchronous_replicas` replicas, so at most one fewer may be
     // missing if one that has the commit is to be among those that answered.
     const auto max_missing = static_cast<std::size_t>(view.synchronous_replicas - 1);
--- a/core/tests/primary_change_model_test.cpp
+++ b/core/tests/primary_change_model_test.cpp
@@ -1,6 +1,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
@@ -28,9 +29,13 @@
 constexpr milliseconds promotion_time(1000);
 /// Time for which an earlier primary goes on once it can reach the newer one.
 constexpr milliseconds step_down_time(1000);
-/// Longest silence of an instance; shorter than the time after which a holder is given up.
+/// Longest time for which an instance is down, receives nothing or answers nothing.
 constexpr int max_fault_ms = 6000;
-constexpr seconds calm_time(45);
+/// Longest partition.
+constexpr int max_cut_ms = 20'000;
+constexpr seconds calm_time(60);
+/// Members of control. Each instance reports to one of them, which passes the reports on.
+constexpr unsigned member_count = 5;
 
 enum class fault_kind : std::uint8_t {
     crash,
@@ -42,7 +47,16 @@
     change_leader,
     slow_platform,
     lose_platform_answer,
+    /// One or two members are cut off from the leader, and acknowledge reports all the same.
+    cut_members,
+    /// The instance ends for good. Its machine refuses connections, or is silent.
+    end_for_good,
+    /// A deregistration of the earlier incarnation arrives after the instance has started again.
+    late_deregistration,
+    /// An odd report under the name of the instance, for a service that is not declared.
+    odd_report,
 };
+constexpr int fault_kind_count = 13;
 
 /// A fault of a drawn order.
 struct fault {
@@ -54,24 +68,57 @@
     milliseconds lasts{};
 };
 
+/// Drawn lengths are those of partitions. Other faults are shorter in proportion.
+milliseconds length_of(const fault& it)
+{
+    if (it.kind == fault_kind::lose_control || it.kind == fault_kind::cut_members) {
+        return it.lasts;
+    }
+    return std::max(it.lasts * max_fault_ms / max_cut_ms, milliseconds(200));
+}
+
 std::ostream& operator<<(std::ostream& out, const fault& it)
 {
     return out << "{kind " << static_cast<int>(it.kind) << ", target " << it.target << ", after "
                << it.after.count() << ", lasts " << it.lasts.count() << "}";
 }
 
+/// Time in milliseconds between two faults: mostly short, so that they overlap, and at times so
+/// long that a silent instance leaves the directory.
+rc::Gen<int> any_pause()
+{
+    return rc::gen::weightedOneOf<int>(
+        {{4, rc::gen::inRange(0, 2500)}, {1, rc::gen::inRange(2500, 19'000)}});
+}
+
 rc::Gen<fault> any_fault()
 {
     return rc::gen::build<fault>(
-        rc::gen::set(&fault::kind, rc::gen::map(rc::gen::inRange(0, 9),
+        rc::gen::set(&fault::kind, rc::gen::map(rc::gen::inRange(0, fault_kind_count),
                                                 [](int n) { return static_cast<fault_kind>(n); })),
-        rc::gen::set(&fault::target, rc::gen::inRange(0U, 5U)),
-        rc::gen::set(&fault::after, rc::gen::map(rc::gen::inRange(0, 2500),
-                                                 [](int n) { return milliseconds(n); })),
-        rc::gen::set(&fault::lasts, rc::gen::map(rc::gen::inRange(200, max_fault_ms),
+        rc::gen::set(&fault::target, rc::gen::inRange(0U, 10U)),
+        rc::gen::set(&fault::after,
+                     rc::gen::map(any_pause(), [](int n) { return milliseconds(n); })),
+        rc::gen::set(&fault::lasts, rc::gen::map(rc::gen::inRange(200, max_cut_ms),
                                                  [](int n) { return milliseconds(n); })));
 }
 
+/// A cut that lasts until silent instances have left the directory, and the loss of the primary
+/// shortly before its end.
+rc::Gen<std::vector<fault>> long_cut_and_crash()
+{
+    return rc::gen::exec([] {
+        const fault cut{.kind =
+                            *rc::gen::element(fault_kind::lose_control, fault_kind::cut_members),
+                        .target = *rc::gen::inRange(0U, 10U),
+                        .lasts = milliseconds(*rc::gen::inRange(17'000, max_cut_ms))};
+        const fault crash{.kind = fault_kind::crash,
+                          .after = milliseconds(*rc::gen::inRange(15'500, 17'000)),
+                          .lasts = milliseconds(*rc::gen::inRange(10'000, max_cut_ms))};
+        return std::vector<fault>{cut, crash};
+    });
+}
+
 struct commit_entry {
     std::uint64_t term = 0;
     int id = 0;
@@ -95,6 +142,10 @@
     time_point next_heartbeat_at = start;
     std::optional<time_point> drains_since;
     bool gone = false;
+    /// True if it ended for good and its machine answers nothing.
+    bool silent_machine = false;
+    /// The member that it reports to.
+    unsigned reports_to = 0;
     /// Until when each fault lasts.
     time_point down_until = start;
     time_point deaf_until = start;
@@ -115,7 +166,8 @@
                                   .address = "10.0.0.1:" + std::to_string(n),
                                   .born_ms = 1,
                                   .primary = n == 0,
-                                  .lag = milliseconds(5 + 40 * n)});
+                                  .lag = milliseconds(5 + 40 * n),
+                                  .reports_to = static_cast<unsigned>(n) % member_count});
         }
     }
 
@@ -143,13 +195,18 @@
             return;
         }
         if (it.kind == fault_kind::slow_platform) {
-            platform_delay_ = it.lasts / 2;
+            platform_delay_ = length_of(it) / 2;
+            note("the platform is slow by " + milliseconds_text(platform_delay_));
             return;
         }
         if (it.kind == fault_kind::lose_platform_answer) {
             loses_platform_answer_ = true;
             return;
         }
+        if (it.kind == fault_kind::cut_members) {
+            cut_members(it);
+            return;
+        }
         std::vector<modelled_instance*> running;
         for (modelled_instance& other : instances_) {
             if (runs(other)) {
@@ -177,6 +234,12 @@
 
     bool runs(const modelled_instance& it) const { return !it.gone && now_ >= it.down_until; }
 
+    /// True if the leader gets what the instance reports.
+    bool is_heard(const modelled_instance& it) const
+    {
+        return now_ >= it.cut_until && now_ >= members_cut_until_[it.reports_to];
+    }
+
     int below(int n) { return static_cast<int>(random_() % static_cast<unsigned>(n)); }
 
     void at(duration delay, std::function<void()> event)
@@ -216,9 +279,21 @@
         return best;
     }
 
+    /// Cuts one or two members other than the leader's off.
+    void cut_members(const fault& drawn)
+    {
+        const unsigned first = 1 + drawn.target % (member_count - 1);
+        const bool two = drawn.target >= member_count;
+        const unsigned second = two ? 1 + first % (member_count - 1) : first;
+        members_cut_until_[first] = now_ + drawn.lasts;
+        members_cut_until_[second] = now_ + drawn.lasts;
+        note("members " + std::to_string(first) + " and " + std::to_string(second) +
+             " are cut until " + milliseconds_text(now_ + drawn.lasts - start));
+    }
+
     void hit(modelled_instance& it, const fault& drawn)
     {
-        const time_point until = now_ + drawn.lasts;
+        const time_point until = now_ + length_of(drawn);
         note("fault " + std::to_string(static_cast<int>(drawn.kind)) + " at " + it.name +
              " until " + milliseconds_text(until - start));
         switch (drawn.kind) {
@@ -241,6 +316,27 @@
             case fault_kind::stop_receiving: it.deaf_until = until; return;
             case fault_kind::refuse_status: it.busy_until = until; return;
             case fault_kind::lose_control: it.cut_until = until; return;
+            case fault_kind::end_for_good:
+                // More instances than hold a copy of a commit must not be lost at a time.
+                if (it.primary || disk_lost_ || it.name == record_.instance) {
+                    return;
+                }
+                disk_lost_ = true;
+                it.gone = true;
+                it.silent_machine = drawn.target % 2 == 1;
+                return;
+            case fault_kind::late_deregistration:
+                remove_instance(directory_, it.name, it.born_ms - 1);
+                return;
+            case fault_kind::odd_report:
+                (void)record_heartbeat(directory_,
+                                       {.instance = it.name,
+                                        .service = "elsewhere",
+                                        .address = it.address,
+                                        .born_ms = it.born_ms + 1000,
+                                        .sequence = 1},
+                                       now_);
+                return;
             default: return;
         }
     }
@@ -321,8 +417,8 @@
             }
             it.gone = true;
             note(it.name + " has drained");
-            if (now_ >= it.cut_until) {
-                remove_instance(directory_, it.name);
+            if (is_heard(it)) {
+                remove_instance(directory_, it.name, it.born_ms);
             }
             at(milliseconds(200 + below(1500)), [this, name = it.name] {
                 modelled_instance next = *find(name);
@@ -345,7 +441,7 @@
                 continue;
             }
             it.next_heartbeat_at = now_ + heartbeat_interval;
-            if (now_ >= it.cut_until) {
+            if (is_heard(it)) {
                 (void)record_heartbeat(directory_,
                                        {.instance = it.name,
                                         .service = "registre",
@@ -423,7 +519,9 @@
                                  .synchronous_replicas = synchronous_replicas_,
                                  .holders = holders_};
         for (const auto& [name, it] : directory_.instances) {
-            view.instances.push_back(it);
+            if (it.last_heartbeat.service == "registre") {
+                view.instances.push_back(it);
+            }
         }
         for (const primary_action& it : advance(state_, view, {}, now_)) {
             perform(it);
@@ -444,6 +542,7 @@
                            at(milliseconds(below(100)), [this, it] { holders_ = it.holders; });
                        },
                        [&](const request_status& it) { ask_status(it.instance); },
+                       [&](const request_holder_status& it) { ask_holder(it.holder); },
                        [&](const request_promotion& it) { call_platform(it.instance); },
                        [&](const request_step_down& it) { step_down(it); },
                        [](const report_blocked_evacuation&) {},
@@ -465,7 +564,8 @@
                    .epoch = record_.epoch + 1,
                    .generation = record_.generation + (promoted ? 1 : 0),
                    .predecessor = changes ? last : std::string(),
-                   .newest_term = it.newest_term};
+                   .newest_term = it.newest_term,
+                   .late_promotion = it.late_promotion};
         entry_updated_at_ = now_ + milliseconds(below(200));
         note(std::string(to_string(it.phase)) + " " + it.instance);
     }
@@ -489,6 +589,40 @@
         at(milliseconds(1 + below(60)), [answer, status] { answer(status); });
     }
 
+    void ask_holder(const commit_holder& holder)
+    {
+        const auto answer = [this, holder, leader = leader_,
+                             requested_at = now_](const status_result& res) {
+            if (leader == leader_) {
+                handle_holder_status(state_, holder, res, requested_at, now_);
+            }
+        };
+        const auto at_address =
+            std::find_if(instances_.begin(), instances_.end(), [&](const auto& other) {
+                return other.address == holder.address && !other.gone;
+            });
+        if (at_address == instances_.end()) {
+            const modelled_instance* const last = find(holder.instance);
+            const bool silent = last == nullptr || last->silent_machine;
+            at(milliseconds(silent ? 500 : 10), [answer, silent] {
+                answer(silent ? status_failure::no_answer : status_failure::not_running);
+            });
+            return;
+        }
+        const modelled_instance& it = *at_address;
+        if (now_ < it.cut_until || now_ < it.busy_until) {
+            at(milliseconds(500), [answer] { answer(status_failure::no_answer); });
+            return;
+        }
+        // Nothing listens while the instance is down; another one at the address refuses.
+        if (!runs(it) || it.name != holder.instance) {
+            at(milliseconds(10), [answer] { answer(status_failure::not_running); });
+            return;
+        }
+        const instance_status status{it.primary, it.term, {it.term, it.log.size()}};
+        at(milliseconds(1 + below(60)), [answer, status] { answer(status); });
+    }
+
     void step_down(const request_step_down& order)
     {
         modelled_instance* const it = find(order.instance);
@@ -595,7 +729,10 @@
     std::map<std::uint64_t, std::string> promotions_;
     duration platform_delay_{};
     bool loses_platform_answer_ = false;
+    /// True once a copy of the log was lost for good.
     bool disk_lost_ = false;
+    /// Until when each member is cut off from the leader.
+    std::array<time_point, member_count> members_cut_until_{};
 };
 
 }  // namespace
@@ -606,9 +743,14 @@
           "[primary]")
 {
     rc::prop("LOST and ONE hold, and a primary serves in the end", [] {
-        const int instance_count = *rc::gen::element(3, 5);
-        const int synchronous_replicas = *rc::gen::element(0, 1);
-        const auto faults = *rc::gen::container<std::vector<fault>>(any_fault());
+        const int instance_count = *rc::gen::element(3, 4, 5);
+        const int synchronous_replicas = *rc::gen::element(0, 1, 2);
+        std::vector<fault> faults;
+        if (*rc::gen::arbitrary<bool>()) {
+            faults = *long_cut_and_crash();
+        }
+        const auto more = *rc::gen::container<std::vector<fault>>(any_fault());
+        faults.insert(faults.end(), more.begin(), more.end());
         const auto seed = *rc::gen::arbitrary<unsigned>();
         modelled_service service(instance_count, synchronous_replicas, seed);
         service.run(seconds(3));
