core: a change of the number of synchronous replicas passes over no commit

After a change of syncReplicas from 1 to 2, one missing replica was no longer waited for at once, although commits of before have one copy. After a change from 0 to 1, an instance that had left the directory was unknown, although it could acknowledge commits from then on.

Cause: the choice counted with the number in force, and holders are recorded only where there are synchronous replicas.

Change: the leader counts with the lowest number of copies that it knows of, and with a higher declared number once so many replicas have what the primary had 5 s after the change (a configuration is in force after 4 s). A new leader starts with 1. Without synchronous replicas the leader remembers for 15 s which instances it knew, in memory only, so a change of leader at the same moment forgets them.

A change to a lower number needs nothing: earlier commits have more copies than are counted on.

--- a/core/failover/holder_tracking.cpp
+++ b/core/failover/holder_tracking.cpp
@@ -77,6 +77,22 @@
     return holders;
 }
 
+void note_recent_instances(holder_tracking& tracking, const std::vector<known_instance>& instances,
+                           duration lifetime, time_point now)
+{
+    // Rarely, because this is done for each service with each tick.
+    constexpr seconds update_interval(1);
+    if (now - tracking.recent_updated_at < update_interval) {
+        return;
+    }
+    tracking.recent_updated_at = now;
+    for (const known_instance& it : instances) {
+        tracking.recent[holder_of(it.last_heartbeat)] = now;
+    }
+    std::erase_if(tracking.recent,
+                  [&](const auto& entry) { return now - entry.second > lifetime; });
+}
+
 void take_primary_sample(holder_tracking& tracking, const status_answers& answers,
                          const std::string& primary, time_point since)
 {
--- a/core/failover/holder_tracking.h
+++ b/core/failover/holder_tracking.h
@@ -42,6 +42,10 @@
 /// starts with an empty state.
 struct holder_tracking {
     std::map<commit_holder, departed_holder> departed;
+    /// Instances that were in the directory lately, and when, while the service had no synchronous
+    /// replicas and its holders were not recorded.
+    std::map<commit_holder, time_point> recent;
+    time_point recent_updated_at{};
     /// Status of the serving primary, with which the answers of its replicas are compared.
     std::optional<dated_status> primary_sample;
 };
@@ -64,6 +68,11 @@
 commit_holders holders_to_record(holder_tracking& tracking, const commit_holders& recorded,
                                  const std::vector<known_instance>& instances, time_point now);
 
+/// Notes the instances in the directory while holders are not recorded. One that leaves it is kept
+/// for `lifetime`: it may acknowledge commits once synchronous replicas are declared.
+void note_recent_instances(holder_tracking& tracking, const std::vector<known_instance>& instances,
+                           duration lifetime, time_point now);
+
 /// Takes the newest answer of the serving primary as sample if it was requested at `since` or later
 /// and there is no such sample yet. Drops an earlier sample.
 void take_primary_sample(holder_tracking& tracking, const status_answers& answers,
--- a/core/failover/primary_change.cpp
+++ b/core/failover/primary_change.cpp
@@ -32,7 +32,9 @@
                               .phase_since = now,
                               .last_served_at = state.last_served_at,
                               .born_ms = state.born_ms,
-                              .holders = {.departed = std::move(state.holders.departed)},
+                              .holders = {.departed = std::move(state.holders.departed),
+                                          .recent = std::move(state.holders.recent)},
+                              .copies = state.copies,
                               .holders_proposed_at = state.holders_proposed_at,
                               .late_promotions = std::move(state.late_promotions),
                               .newest_term = std::max(state.newest_term, record.newest_term),
@@ -157,6 +159,31 @@
     }
 }
 
+/// Number of replicas that have received what the serving primary had at its sample. Requests the
+/// answers that this needs.
+int count_caught_up(primary_change_state& state, actions& out, const primary_change_view& view,
+                    duration interval, time_point sample_since, time_point now)
+{
+    take_primary_sample(state.holders, state.status_answers, view.record.instance, sample_since);
+    int caught_up = 0;
+    for (const known_instance& it : view.instances) {
+        const std::string& name = it.last_heartbeat.instance;
+        request_status_if_due(state, out, name, interval, now);
+        caught_up += name != view.record.instance &&
+                     has_caught_up(state.holders, state.status_answers, name);
+    }
+    return caught_up;
+}
+
+/// Ends a comparison with the primary. Its answer would make the next request to it wait, which
+/// would delay the detection of its loss.
+void drop_primary_sample(primary_change_state& state, const primary_change_view& view)
+{
+    state.holders.primary_sample.reset();
+    state.status_answers.erase(view.record.instance);
+    state.status_requested_at.erase(view.record.instance);
+}
+
 /// Forgets the departed holders that do not run any more once enough replicas of the serving
 /// primary have received what it had after their end. One that may still run could acknowledge
 /// later commits alone.
@@ -173,24 +200,38 @@
     if (!since) {
         return;
     }
-    take_primary_sample(state.holders, state.status_answers, view.record.instance, *since);
-    int caught_up = 0;
-    for (const known_instance& it : view.instances) {
-        const std::string& name = it.last_heartbeat.instance;
-        request_status_if_due(state, out, name, options.status_interval, now);
-        caught_up += name != view.record.instance &&
-                     has_caught_up(state.holders, state.status_answers, name);
-    }
+    const int caught_up = count_caught_up(state, out, view, options.status_interval, *since, now);
     if (caught_up >= view.synchronous_replicas) {
         std::erase_if(holders, [&](const commit_holder& it) {
             const auto departed = state.holders.departed.find(it);
             return departed != state.holders.departed.end() && departed->second.ended_at;
         });
-        state.holders.primary_sample.reset();
-        // An answer of the primary makes the next request to it wait, which would delay the
-        // detection of its loss.
-        state.status_answers.erase(view.record.instance);
-        state.status_requested_at.erase(view.record.instance);
+        drop_primary_sample(state, view);
+    }
+}
+
+/// Follows changes of the number of synchronous replicas. A higher one counts once that many
+/// replicas have what the primary had after the change, because earlier commits may have fewer
+/// copies.
+void update_copies(primary_change_state& state, actions& out, const primary_change_view& view,
+                   const primary_change_options& options, time_point now)
+{
+    commit_copies& copies = state.copies;
+    if (copies.declared != view.synchronous_replicas) {
+        copies = {.declared = view.synchronous_replicas,
+                  .declared_since = now,
+                  .guaranteed = std::min(copies.guaranteed, view.synchronous_replicas)};
+        copies.guaranteed = std::max(copies.guaranteed, 1);
+    }
+    const time_point since = copies.declared_since + options.replication_change_time;
+    if (copies.guaranteed >= copies.declared || view.record.phase != primary_phase::serving ||
+        now < since) {
+        return;
+    }
+    if (count_caught_up(state, out, view, options.slow_status_interval, since, now) >=
+        copies.declared) {
+        copies.guaranteed = copies.declared;
+        drop_primary_sample(state, view);
     }
 }
 
@@ -213,12 +254,20 @@
 void track_holders(primary_change_state& state, actions& out, const primary_change_view& view,
                    const primary_change_options& options, time_point now)
 {
-    commit_holders holders = holders_to_record(state.holders, view.holders, view.instances, now);
+    commit_holders recorded = view.holders;
+    for (const auto& [holder, seen_at] : state.holders.recent) {
+        recorded.insert(holder);
+    }
+    if (recorded == view.holders) {
+        state.holders.recent.clear();
+    }
+    commit_holders holders = holders_to_record(state.holders, recorded, view.instances, now);
     std::erase_if(holders, [&](const commit_holder& it) {
         const auto departed = state.holders.departed.find(it);
         return departed != state.holders.departed.end() &&
                now - departed->second.last_heard_at > options.holder_timeout;
     });
+    update_copies(state, out, view, options, now);
     request_late_instances(state, out, view, options, now);
     request_departed_holders(state, out, view, options, now);
     if (view.record.phase == primary_phase::serving) {
@@ -443,6 +492,10 @@
         if (view.synchronous_replicas > 0) {
             track_holders(state, out, view, options, now);
         }
+        else {
+            state.copies = {};
+            note_recent_instances(state.holders, view.instances, options.holder_timeout, now);
+        }
     }
     if (state.proposed_at && now - *state.proposed_at < proposal_timeout) {
         return out;
--- a/core/failover/primary_change.h
+++ b/core/failover/primary_change.h
@@ -42,6 +42,10 @@
     /// waited for after it left the directory, which a silent one does after 15 s, and was last
     /// heard. Partitions of up to 20 s are expected to heal.
     duration holder_timeout = seconds(15);
+    /// After a change of the number of synchronous replicas, how long instances may still
+    /// acknowledge commits by the earlier number. A configuration is in force 4 s after its
+    /// acknowledgement at the latest.
+    duration replication_change_time = seconds(5);
     /// A promotion request that the platform did not clearly accept is repeated after this.
     duration promotion_retry_interval = milliseconds(250);
     /// A promotion request that was accepted but has no effect is repeated after this.
@@ -76,6 +80,16 @@
     std::optional<time_point> unclear_at;
 };
 
+/// How many copies of acknowledged commits the leader may count on.
+struct commit_copies {
+    /// The declared number of synchronous replicas, and since when this leader has known it.
+    int declared = 0;
+    time_point declared_since{};
+    /// Each acknowledged commit is held by at least so many of the recorded holders besides the
+    /// primary. A new leader does not know with which number earlier commits were acknowledged.
+    int guaranteed = 1;
+};
+
 /// What the leader of the control group knows about the primary of one service. Not replicated: a
 /// new leader starts with an empty state and collects it again.
 struct primary_change_state {
@@ -96,6 +110,7 @@
     /// Start of the incarnation that each instance reported last.
     std::map<std::string, std::int64_t> born_ms;
     holder_tracking holders;
+    commit_copies copies;
     /// When holders were last proposed to be recorded.
     std::optional<time_point> holders_proposed_at;
     /// Since when the serving primary has been leaving.
--- a/core/failover/successor_choice.cpp
+++ b/core/failover/successor_choice.cpp
@@ -249,9 +249,9 @@
     const log_position needed = newest_received(state, view);
     const bool old_primary_runs = old_primary_has_everything(state, view, needed);
     const auto missing = missing_holders(state, view, options, needed, now);
-    // A commit is acknowledged by `synchronous_replicas` replicas, so at most one fewer may be
-    // missing if one that has the commit is to be among those that answered.
-    const auto max_missing = static_cast<std::size_t>(view.synchronous_replicas - 1);
+    // Each acknowledged commit has `guaranteed` copies, so at most one fewer may be missing if one
+    // that has the commit is to be among those that answered.
+    const auto max_missing = static_cast<std::size_t>(state.copies.guaranteed - 1);
     if (!old_primary_runs && missing.size() > max_missing) {
         report_missing(state, out, missing.front().instance, waited, options);
         return;
--- a/core/tests/primary_change_test.cpp
+++ b/core/tests/primary_change_test.cpp
@@ -717,6 +717,59 @@
     CHECK(it.status_requests == others_before);
 }
 
+// Guards against a count of copies that earlier commits do not have.
+TEST_CASE("after a rise of the synchronous replicas, commits of before are not passed over",
+          "[primary]")
+{
+    service_fixture it;
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(3));
+    // Instance c alone has the newest commits.
+    it.statuses["a"].received = {1, 110};
+    it.statuses["c"].received = {1, 110};
+    it.view.synchronous_replicas = 2;
+    it.run(seconds(1));
+    SECTION("while only one replica has them")
+    {
+        it.up["c"] = false;
+        it.lose_primary();
+        it.run(seconds(5));
+        CHECK(it.promoted.empty());
+    }
+    SECTION("and one missing replica is not waited for once both have had them")
+    {
+        it.statuses["b"].received = {1, 110};
+        it.run(seconds(10));
+        const bool new_leader = GENERATE(false, true);
+        if (new_leader) {
+            it.state = {};
+        }
+        it.up["c"] = false;
+        it.lose_primary();
+        it.run(seconds(5));
+        // A new leader does not know it.
+        CHECK(it.promoted.empty() == new_leader);
+    }
+}
+
+// Guards against a replica that is unknown because it was not heard when synchronous replicas were
+// declared.
+TEST_CASE("a replica that left the directory before synchronous replicas were declared is asked",
+          "[primary]")
+{
+    service_fixture it;
+    it.run(seconds(3));
+    it.hide("c");
+    it.run(seconds(1));
+    it.view.synchronous_replicas = 1;
+    it.run(seconds(2));
+    it.statuses["a"].received = {1, 110};
+    it.statuses["c"].received = {1, 110};
+    it.lose_primary();
+    it.run(seconds(5));
+    CHECK(it.promoted.empty());
+}
+
 TEST_CASE("a silent holder is given up after its timeout", "[primary]")
 {
     service_fixture it;
