control: a report for an undeclared service does not hide an instance

Cause: the directory took a report for any service and moved the instance.

Reports before the first configuration are kept as before.

Ruled out: refusing reports for undeclared services altogether.

--- a/control/control_service.cpp
+++ b/control/control_service.cpp
@@ -552,7 +552,7 @@
 {
     remember_domain(it.heartbeat.failure_domain);
     if (holds_leadership(*consensus_, monotonic_clock::now())) {
-        coordinator_.handle_heartbeat(it.heartbeat, monotonic_clock::now());
+        coordinator_.handle_heartbeat(registry_, it.heartbeat, monotonic_clock::now());
         if (it.id != 0) {
             send_message(sender, relayed_command_result{.id = it.id, .settled = true});
         }
--- a/control/control_service_submissions.cpp
+++ b/control/control_service_submissions.cpp
@@ -70,7 +70,7 @@
     if (consensus_ && holds_leadership(*consensus_, now)) {
         it.sent_at = now;
         if (it.heartbeat) {
-            coordinator_.handle_heartbeat(*it.heartbeat, now);
+            coordinator_.handle_heartbeat(registry_, *it.heartbeat, now);
             complete_submission(id, true, {});
             return;
         }
--- a/control/service_coordinator.cpp
+++ b/control/service_coordinator.cpp
@@ -49,8 +49,24 @@
     return (term_ << directory_term_shift) + directory_.version;
 }
 
-void service_coordinator::handle_heartbeat(const instance_heartbeat& it, time_point now)
+void service_coordinator::handle_heartbeat(const registry& state, const instance_heartbeat& it,
+                                           time_point now)
 {
+    const auto is_declared = [&](const std::string& service) {
+        return state.declared.services.contains(service);
+    };
+    if (is_declared(it.service)) {
+        remove_undeclared(directory_, it, is_declared);
+    }
+    else if (displaces_instance(directory_, it)) {
+        log_event(event_id::heartbeat_rejected,
+                  {{"instance", it.instance},
+                   {"reason", "it names an undeclared service under the name or address of another "
+                              "instance"},
+                   {"service", it.service},
+                   {"address", it.address}});
+        return;
+    }
     const std::uint64_t version = directory_.version;
     const bool known = directory_.instances.contains(it.instance);
     const heartbeat_result result = record_heartbeat(directory_, it, now);
--- a/control/service_coordinator.h
+++ b/control/service_coordinator.h
@@ -44,8 +44,9 @@
     /// Clears all state. Called when this member starts or stops leading.
     void reset(time_point now, std::uint64_t term);
 
-    /// Records a heartbeat of an instance.
-    void handle_heartbeat(const instance_heartbeat& it, time_point now);
+    /// Records a heartbeat of an instance, unless it names a service that is not declared and would
+    /// displace a known instance.
+    void handle_heartbeat(const registry& state, const instance_heartbeat& it, time_point now);
 
     /// Removes an instance that deregistered from the directory, unless a later incarnation than
     /// the one that started at `born_ms` is known.
--- a/control/tests/service_coordinator_test.cpp
+++ b/control/tests/service_coordinator_test.cpp
@@ -25,6 +25,7 @@
     const auto advance_at = [&](duration since_start, const std::string& domain_of_primary) {
         for (const char* name : {"a", "b"}) {
             coordinator.handle_heartbeat(
+                state,
                 {.instance = name,
                  .service = "registre",
                  .address = std::string("10.0.0.1:") + (name[0] == 'a' ? "1" : "2"),
@@ -75,7 +76,8 @@
     void receive_heartbeats(const std::string& names, time_point now)
     {
         for (const char name : names) {
-            coordinator.handle_heartbeat({.instance = {name},
+            coordinator.handle_heartbeat(state,
+                                         {.instance = {name},
                                           .service = "registre",
                                           .address = std::string("10.0.0.1:") + name,
                                           .reports_primary = name == 'a',
@@ -140,3 +142,51 @@
     it.advance(now + seconds(2));
     CHECK(!it.has_silent_replica());
 }
+
+// Guards against a report by another writer that hides a running instance, whose own reports are
+// then taken for those of an earlier incarnation.
+TEST_CASE("a heartbeat for an undeclared service neither moves nor replaces a known instance",
+          "[coordinator]")
+{
+    registry state;
+    state.declared.services["registre"] = {};
+    service_coordinator coordinator({}, {}, {}, [](const registry_command&) {});
+    const time_point now = monotonic_clock::now();
+    const auto report = [&](const std::string& instance, const std::string& service,
+                            std::int64_t born_ms) {
+        coordinator.handle_heartbeat(state,
+                                     {.instance = instance,
+                                      .service = service,
+                                      .address = "10.0.0.1:1",
+                                      .born_ms = born_ms,
+                                      .sequence = 1},
+                                     now);
+    };
+    const auto has_only_real_instance = [&] {
+        entry_instructions instructions;
+        coordinator.fill_directory(instructions, 0);
+        return instructions.instances.size() == 1 &&
+               instructions.instances.front().instance == "a" &&
+               instructions.instances.front().service == "registre";
+    };
+    SECTION("the odd report comes later")
+    {
+        report("a", "registre", 100);
+        report("a", "elsewhere", 200);
+        CHECK(has_only_real_instance());
+        report("b", "elsewhere", 300);
+        CHECK(has_only_real_instance());
+    }
+    SECTION("the odd report comes first")
+    {
+        report(GENERATE("a", "b"), "elsewhere", 200);
+        report("a", "registre", 100);
+        CHECK(has_only_real_instance());
+    }
+    SECTION("instances may report before their service is declared")
+    {
+        state.declared.services.clear();
+        report("a", "registre", 100);
+        CHECK(has_only_real_instance());
+    }
+}
--- a/core/instances/instance_directory.cpp
+++ b/core/instances/instance_directory.cpp
@@ -97,6 +97,28 @@
     });
 }
 
+bool displaces_instance(const instance_directory& directory, const instance_heartbeat& heartbeat)
+{
+    return std::any_of(directory.instances.begin(), directory.instances.end(),
+                       [&](const auto& entry) {
+                           const instance_heartbeat& other = entry.second.last_heartbeat;
+                           const bool same_name = other.instance == heartbeat.instance;
+                           return same_name ? other.service != heartbeat.service
+                                            : other.address == heartbeat.address;
+                       });
+}
+
+void remove_undeclared(instance_directory& directory, const instance_heartbeat& heartbeat,
+                       const std::function<bool(const std::string& service)>& is_declared)
+{
+    remove_if(directory, [&](const known_instance& it) {
+        const instance_heartbeat& other = it.last_heartbeat;
+        const bool same =
+            other.instance == heartbeat.instance || other.address == heartbeat.address;
+        return same && other.service != heartbeat.service && !is_declared(other.service);
+    });
+}
+
 void remove_expired_instances(instance_directory& directory, const directory_options& options,
                               time_point now)
 {
--- a/core/instances/instance_directory.h
+++ b/core/instances/instance_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <msgpack.hpp>
 #include <string>
@@ -105,6 +106,16 @@
 void remove_instance(instance_directory& directory, const std::string& instance,
                      std::int64_t born_ms);
 
+/// True if the heartbeat would move a known instance to another service, or take its address. If
+/// nothing declares the service that the heartbeat names, it is another writer's, and the known
+/// instance is the real one.
+bool displaces_instance(const instance_directory& directory, const instance_heartbeat& heartbeat);
+
+/// Removes what an instance of a declared service takes the name or address of: instances of
+/// services for which `is_declared` is false.
+void remove_undeclared(instance_directory& directory, const instance_heartbeat& heartbeat,
+                       const std::function<bool(const std::string& service)>& is_declared);
+
 /// Removes the instances whose last heartbeat is older than the expiry time.
 void remove_expired_instances(instance_directory& directory, const directory_options& options,
                               time_point now);
