pooling, platform: rows of a long answer are passed on as the caller takes them

Cause: a connection to an instance collected all rows before it passed any on; the formatted answer and the caller's socket held further copies.

Rows of a longer one are passed on as they arrive. After rows were passed on the read is not repeated; an error then follows the rows.

Ruled out: refusing answers above a limit.

--- a/pooling/caller_session.h
+++ b/pooling/caller_session.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "core/registry/declared_configuration.h"
@@ -19,6 +20,10 @@
 /// Receives the answer to one statement.
 using answer_handler = std::function<void(const statement_answer&)>;
 
+/// Receives first rows of an answer that is too long to be held; the rest and the result follow.
+/// Returns false if no more rows should come until session_service::resume_rows().
+using rows_handler = std::function<bool(const std::vector<std::string>&)>;
+
 /// A transaction of a caller, or a single statement, which runs as a transaction of its own. It
 /// gets a connection with its first statement.
 struct caller_transaction {
@@ -51,6 +56,11 @@
     /// The statement as the caller sent it.
     statement request;
     answer_handler on_answer;
+    rows_handler on_rows;
+    /// True once rows were passed to the caller. The statement cannot run again then.
+    bool rows_passed = false;
+    /// Rows of a long answer, if `on_rows` is not set.
+    std::vector<std::string> held_rows;
     time_point arrived_at{};
     /// The caller is answered shortly before this time at the latest.
     time_point deadline{};
--- a/pooling/instance_connection.h
+++ b/pooling/instance_connection.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "core/routing/placement.h"
 #include "core/statements/statement.h"
@@ -38,6 +39,9 @@
     std::function<void(const statement_answer&)> on_started;
     /// The instance answered the oldest statement that had no answer yet.
     std::function<void(const statement_answer&)> on_answer;
+    /// First rows of that answer, which is too long to be held. Further ones follow in the same
+    /// way, and the last with on_answer. If this is not set, an answer is held whatever its length.
+    std::function<void(std::vector<std::string>)> on_rows;
     /// The connection ended; no callback follows. The error is set if the instance refused it.
     std::function<void(connection_end_reason, const statement_error&)> on_end;
 };
@@ -45,6 +49,8 @@
 /// A connection to an instance. Statements are answered in the order in which they are sent.
 struct instance_connection {
     std::function<void(const statement&)> send;
+    /// Stops receiving, so that the instance waits, or goes on.
+    std::function<void(bool)> set_paused;
     /// Ends the connection; no callback follows.
     std::function<void()> close;
 };
--- a/pooling/pooled_connection.h
+++ b/pooling/pooled_connection.h
@@ -46,6 +46,8 @@
     prepared_names prepared;
     /// Answers to the statements that were sent, oldest first.
     std::deque<expected_answer> expected_answers;
+    /// True while the instance waits because the caller takes the rows of its answer slowly.
+    bool paused = false;
     /// Number of the session that uses the connection; zero while it is idle.
     std::uint64_t session = 0;
     /// True while the instance rolls back a transaction that failed. No session uses the connection
--- a/pooling/session_service.cpp
+++ b/pooling/session_service.cpp
@@ -104,7 +104,8 @@
                {"control_answered_ms_ago", control_silence_text(now)}});
 }
 
-void session_service::run(std::uint64_t number, statement request, answer_handler on_answer)
+void session_service::run(std::uint64_t number, statement request, answer_handler on_answer,
+                          rows_handler on_rows)
 {
     caller_session* const session = find_session(number);
     if (session == nullptr) {
@@ -112,8 +113,11 @@
     }
     const time_point now = hooks_.now();
     session->last_active_at = now;
-    session->pending = std::make_unique<pending_statement>(pending_statement{
-        .request = std::move(request), .on_answer = std::move(on_answer), .arrived_at = now});
+    session->pending =
+        std::make_unique<pending_statement>(pending_statement{.request = std::move(request),
+                                                              .on_answer = std::move(on_answer),
+                                                              .on_rows = std::move(on_rows),
+                                                              .arrived_at = now});
     const bool ends = session->pending->request.kind == statement_kind::rollback ||
                       session->pending->request.kind == statement_kind::commit;
     if (closing_ && session->state == session_state::idle) {
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -116,7 +116,12 @@
                  std::function<void()> disconnect_caller);
 
     /// Runs a statement of the session with this number, which must have no unanswered statement.
-    void run(std::uint64_t number, statement request, answer_handler on_answer);
+    /// Without `on_rows`, rows of a long answer come with the answer.
+    void run(std::uint64_t number, statement request, answer_handler on_answer,
+             rows_handler on_rows = {});
+
+    /// Lets the rows of a long answer go on after `on_rows` returned false.
+    void resume_rows(std::uint64_t number);
 
     /// Closes the session of a caller that has left. Its connection to an instance is closed, so
     /// that the instance rolls back what still runs.
@@ -328,6 +333,8 @@
                     const statement_answer& instance_answer);
     void on_instance_answer(const pooled_connection_ptr& connection,
                             const statement_answer& instance_answer);
+    void on_instance_rows(const pooled_connection_ptr& connection,
+                          const std::vector<std::string>& rows);
     void on_connection_end(const pooled_connection_ptr& connection, connection_end_reason reason,
                            const statement_error& error);
     void on_set_up_answer(caller_session& session, const pooled_connection_ptr& connection,
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -7,6 +7,14 @@
 namespace balsamdrift {
 namespace {
 
+void set_paused(pooled_connection& connection, bool paused)
+{
+    if (connection.paused != paused) {
+        connection.paused = paused;
+        connection.transport.set_paused(paused);
+    }
+}
+
 /// Code for a failed statement that had not been sent to an instance.
 constexpr statement_error_code not_run_code = statement_error_code::busy;
 
@@ -37,6 +45,7 @@
     }
     const expected_answer expected = connection->expected_answers.front();
     connection->expected_answers.pop_front();
+    set_paused(*connection, false);
     const auto [service, pool] = find_pool(*connection);
     if (pool != nullptr) {
         record_position(*service, *pool, instance_answer, expected);
@@ -65,6 +74,34 @@
     on_request_answer(*session, connection, instance_answer);
 }
 
+void session_service::on_instance_rows(const pooled_connection_ptr& connection,
+                                       const std::vector<std::string>& rows)
+{
+    caller_session* const session = find_session(connection->session);
+    const bool requested = !connection->expected_answers.empty() &&
+                           connection->expected_answers.front().purpose == answer_purpose::request;
+    if (!requested || session == nullptr || !session->pending) {
+        return;
+    }
+    pending_statement& pending = *session->pending;
+    if (!pending.on_rows) {
+        pending.held_rows.insert(pending.held_rows.end(), rows.begin(), rows.end());
+        return;
+    }
+    pending.rows_passed = true;
+    if (!pending.on_rows(rows)) {
+        set_paused(*connection, true);
+    }
+}
+
+void session_service::resume_rows(std::uint64_t number)
+{
+    const caller_session* const session = find_session(number);
+    if (session != nullptr && session->transaction && session->transaction->connection) {
+        set_paused(*session->transaction->connection, false);
+    }
+}
+
 void session_service::record_position(service_state& service, instance_pool& pool,
                                       const statement_answer& instance_answer,
                                       const expected_answer& expected)
@@ -181,6 +218,10 @@
         session.last_commit_generation = service.positions.generation;
     }
     statement_answer caller_answer = instance_answer;
+    if (!session.pending->held_rows.empty()) {
+        caller_answer.rows.insert(caller_answer.rows.begin(), session.pending->held_rows.begin(),
+                                  session.pending->held_rows.end());
+    }
     if (single) {
         answer(session, caller_answer);
         return;
@@ -230,7 +271,8 @@
         code == statement_error_code::failed || code == statement_error_code::timeout;
     // It is not known which statements the connection has then, so it is not reused.
     const bool lost_names = code == statement_error_code::unknown_statement;
-    if (single && (was_not_run(code) || (reads && failed))) {
+    const bool repeatable = !session.pending->rows_passed;
+    if (single && repeatable && (was_not_run(code) || (reads && failed))) {
         session.transaction->connection = nullptr;
         session.transaction->may_have_written = false;
         const std::string instance = connection->instance;
@@ -313,6 +355,7 @@
 {
     pending_statement& pending = *session.pending;
     pending.excluded.insert(instance);
+    pending.held_rows.clear();
     pending.request_sent = false;
     session.transaction->may_have_written = false;
     service_state& service = services_[route_of(session).service];
@@ -418,8 +461,8 @@
     }
     pending_statement& pending = *session->pending;
     const bool dispatched = pending.attempts > 0;
-    const bool repeatable =
-        is_single_statement(*session->transaction) && !writes(*session, pending.request);
+    const bool repeatable = is_single_statement(*session->transaction) &&
+                            !writes(*session, pending.request) && !pending.rows_passed;
     const bool request_not_sent = dispatched && !pending.request_sent;
     // Nothing was sent to an instance that could not be reached, and an instance that refuses a
     // connection runs no statement that was sent on it. On a connection that broke, accepted or
--- a/pooling/session_service_dispatch.cpp
+++ b/pooling/session_service_dispatch.cpp
@@ -197,6 +197,12 @@
                                  on_instance_answer(self, it);
                              }
                          },
+                     .on_rows =
+                         [this, weak](const std::vector<std::string>& rows) {
+                             if (const auto self = weak.lock()) {
+                                 on_instance_rows(self, rows);
+                             }
+                         },
                      .on_end =
                          [this, weak](connection_end_reason reason, const statement_error& error) {
                              if (const auto self = weak.lock()) {
--- a/pooling/tests/session_service_test.cpp
+++ b/pooling/tests/session_service_test.cpp
@@ -20,6 +20,8 @@
     std::vector<session_values> values_of_reads;
     bool in_transaction = false;
     bool closed = false;
+    /// True while the instance waits with further rows.
+    bool paused = false;
 };
 
 /// An instance that runs each statement when the test delivers it.
@@ -172,6 +174,7 @@
                     [this, connection](const statement& sent) {
                         events.push_back([this, connection, sent] { receive(connection, sent); });
                     },
+                .set_paused = [connection](bool paused) { connection->paused = paused; },
                 .close = [connection] { connection->closed = true; }};
     }
 
@@ -503,6 +506,59 @@
     CHECK(is_success(vm.run(session, read_of("x"))));
 }
 
+// Guards against an answer whose rows come from two instances, and against an instance that waits
+// for ever.
+TEST_CASE("a read whose rows were passed on is not repeated, and its instance waits for the caller",
+          "[sessions]")
+{
+    vm_fixture vm;
+    vm.instances.at("a").drops_answers = true;
+    const auto session = vm.open_session("strict");
+    std::vector<std::string> rows;
+    std::optional<statement_answer> answer;
+    vm.sessions.run(
+        session, read_of("x"), [&](const statement_answer& it) { answer = it; },
+        [&](const std::vector<std::string>& part) {
+            rows.insert(rows.end(), part.begin(), part.end());
+            return false;
+        });
+    vm.deliver_events();
+    vm.advance_time(milliseconds(100));
+    REQUIRE(vm.connections.size() == 1);
+    fake_connection& connection = *vm.connections[0];
+    connection.events.on_rows({"r1", "r2"});
+    CHECK(rows == std::vector<std::string>{"r1", "r2"});
+    CHECK(connection.paused);
+    vm.sessions.resume_rows(session);
+    CHECK(!connection.paused);
+    connection.events.on_rows({"r3"});
+    REQUIRE(connection.paused);
+    SECTION("the connection breaks")
+    {
+        connection.closed = true;
+        connection.events.on_end(connection_end_reason::broken, {});
+        REQUIRE(answer);
+        CHECK(error_code_of(*answer) == statement_error_code::failed);
+    }
+    SECTION("the instance reports an error")
+    {
+        connection.events.on_answer({.result = statement_error{statement_error_code::failed, ""}});
+        REQUIRE(answer);
+        CHECK(error_code_of(*answer) == statement_error_code::failed);
+        CHECK(!connection.paused);
+    }
+    SECTION("the answer ends")
+    {
+        connection.events.on_answer({.rows = {"r4"}, .result = statement_success{"receipt"}});
+        REQUIRE(answer);
+        CHECK(is_success(*answer));
+        CHECK(answer->rows == std::vector<std::string>{"r4"});
+        CHECK(!connection.paused);
+    }
+    CHECK(vm.received_count("a") == 1);
+    CHECK(vm.connections.size() == 1);
+}
+
 TEST_CASE("a connection is closed when its caller leaves inside a transaction", "[sessions]")
 {
     vm_fixture vm;
