--- a/control/tests/control_service_test.cpp
+++ b/control/tests/control_service_test.cpp
@@ -61,13 +61,23 @@
     }
 }
 
+/// A loopback address of this test process alone. On a shared one, the port of a member that is
+/// restarted could be taken meanwhile by a test that runs beside it.
+std::string own_loopback_address()
+{
+    constexpr int range = 250;
+    const int number = ::getpid();
+    return "127." + std::to_string(1 + number / range % range) + "." +
+           std::to_string(number % range) + ".1";
+}
+
 /// One process of a control member: its data folder outlives it, and its successor listens on the
 /// same address.
 class member_process {
 public:
     /// Port zero: any free one.
     explicit member_process(std::uint16_t port)
-        : fleet_({.listen = {"127.0.0.1", port}, .secret = "secret-of-the-test"})
+        : fleet_({.listen = {own_loopback_address(), port}, .secret = "secret-of-the-test"})
     {
         auto listening = fleet_.start([this](fleet_message it) {
             if (control_service* const to = receiver_.load()) {
