--- a/core/failover/holder_tracking.cpp
+++ b/core/failover/holder_tracking.cpp
@@ -66,7 +66,7 @@
         const auto known = tracking.departed.find(it);
         departed_holder& kept = departed[it];
         kept = known == tracking.departed.end() ? departed_holder{.last_heard_at = now}
-                                                : std::move(known->second);
+                                                : known->second;
         if (!kept.superseded && has_started_again(instances, it)) {
             kept.superseded = true;
             kept.answer.reset();
--- a/core/failover/primary_change_steps.h
+++ b/core/failover/primary_change_steps.h
@@ -11,6 +11,10 @@
 
 using actions = std::vector<primary_action>;
 
+/// A proposal is repeated if it has not changed the record within this time. Until then nothing
+/// else is done.
+constexpr milliseconds proposal_timeout(1000);
+
 /// Newest heartbeat of an instance; null if it is not in the directory.
 const known_instance* find_instance(const primary_change_view& view, const std::string& name);
 
--- a/pooling/session_service.h
+++ b/pooling/session_service.h
@@ -333,6 +333,8 @@
                     const statement_answer& instance_answer);
     void on_instance_answer(const pooled_connection_ptr& connection,
                             const statement_answer& instance_answer);
+    /// Has the instance wait with the rows of its answer, or go on.
+    static void set_rows_paused(pooled_connection& connection, bool paused);
     void on_instance_rows(const pooled_connection_ptr& connection,
                           const std::vector<std::string>& rows);
     void on_connection_end(const pooled_connection_ptr& connection, connection_end_reason reason,
--- a/pooling/session_service_answers.cpp
+++ b/pooling/session_service_answers.cpp
@@ -7,14 +7,6 @@
 namespace balsamdrift {
 namespace {
 
-void set_paused(pooled_connection& connection, bool paused)
-{
-    if (connection.paused != paused) {
-        connection.paused = paused;
-        connection.transport.set_paused(paused);
-    }
-}
-
 /// Code for a failed statement that had not been sent to an instance.
 constexpr statement_error_code not_run_code = statement_error_code::busy;
 
@@ -45,7 +37,7 @@
     }
     const expected_answer expected = connection->expected_answers.front();
     connection->expected_answers.pop_front();
-    set_paused(*connection, false);
+    set_rows_paused(*connection, false);
     const auto [service, pool] = find_pool(*connection);
     if (pool != nullptr) {
         record_position(*service, *pool, instance_answer, expected);
@@ -74,34 +66,6 @@
     on_request_answer(*session, connection, instance_answer);
 }
 
-void session_service::on_instance_rows(const pooled_connection_ptr& connection,
-                                       const std::vector<std::string>& rows)
-{
-    caller_session* const session = find_session(connection->session);
-    const bool requested = !connection->expected_answers.empty() &&
-                           connection->expected_answers.front().purpose == answer_purpose::request;
-    if (!requested || session == nullptr || !session->pending) {
-        return;
-    }
-    pending_statement& pending = *session->pending;
-    if (!pending.on_rows) {
-        pending.held_rows.insert(pending.held_rows.end(), rows.begin(), rows.end());
-        return;
-    }
-    pending.rows_passed = true;
-    if (!pending.on_rows(rows)) {
-        set_paused(*connection, true);
-    }
-}
-
-void session_service::resume_rows(std::uint64_t number)
-{
-    const caller_session* const session = find_session(number);
-    if (session != nullptr && session->transaction && session->transaction->connection) {
-        set_paused(*session->transaction->connection, false);
-    }
-}
-
 void session_service::record_position(service_state& service, instance_pool& pool,
                                       const statement_answer& instance_answer,
                                       const expected_answer& expected)
