--- a/core/failover/holder_steps.cpp
+++ b/core/failover/holder_steps.cpp
@@ -118,6 +118,7 @@
 void track_holders(primary_change_state& state, actions& out, const primary_change_view& view,
                    const primary_change_options& options, time_point now)
 {
+    // Instances from before synchronous replicas were declared are added, until they are recorded.
     commit_holders recorded = view.holders;
     for (const auto& [holder, seen_at] : state.holders.recent) {
         recorded.insert(holder);
--- a/core/failover/holder_tracking.h
+++ b/core/failover/holder_tracking.h
@@ -31,8 +31,8 @@
     std::optional<dated_status> answer;
     /// When it was known not to run any more. Unset again by an answer.
     std::optional<time_point> ended_at;
-    /// True once a later incarnation has reported from the same address. It would answer in place
-    /// of this one, so this one is not asked any more.
+    /// True once a later incarnation has reported from the same address. That one would answer in
+    /// place of this one, so this one is not asked any more.
     bool superseded = false;
     /// When the newest request was sent.
     std::optional<time_point> requested_at;
